--- /dev/null
+++ b/crates/backend/src/client.rs
@@ -0,0 +1,157 @@
+//! Connections to backend servers.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http::{HeaderName, Request};
+use http_body_util::Full;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use model::RequestId;
+use tokio::{net::TcpStream, time::timeout};
+
+use crate::{exchange::Exchange, failure::Failure};
+
+/// Header that carries the request's id to the backend server, which may echo it.
+pub const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
+/// Idle connections kept for each backend server.
+const MAX_IDLE: usize = 64;
+
+pub(crate) type Connection = SendRequest<Full<Bytes>>;
+
+/// Longest waits for a backend server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Deadlines {
+    /// For a connection.
+    pub connect: Duration,
+    /// From sending the request to the head of the answer.
+    pub head: Duration,
+    /// Between two pieces of the answer.
+    pub idle: Duration,
+}
+
+impl Default for Deadlines {
+    fn default() -> Self {
+        Self {
+            connect: Duration::from_millis(500),
+            head: Duration::from_mins(1),
+            idle: Duration::from_secs(30),
+        }
+    }
+}
+
+/// Sends requests to backend servers.
+#[derive(Clone, Debug)]
+pub struct Client {
+    deadlines: Deadlines,
+    idle: Idle,
+}
+
+/// Connections that can be used again.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Idle(Arc<Mutex<HashMap<SocketAddr, Vec<Connection>>>>);
+
+impl Idle {
+    fn take(&self, address: SocketAddr) -> Option<Connection> {
+        let mut idle = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let connections = idle.get_mut(&address)?;
+        while let Some(connection) = connections.pop() {
+            if connection.is_ready() {
+                return Some(connection);
+            }
+        }
+        None
+    }
+
+    pub(crate) fn put(&self, address: SocketAddr, connection: Connection) {
+        let mut idle = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let connections = idle.entry(address).or_default();
+        connections.retain(|c| !c.is_closed());
+        if connections.len() < MAX_IDLE {
+            connections.push(connection);
+        }
+    }
+}
+
+impl Client {
+    /// A client without connections.
+    #[must_use]
+    pub fn new(deadlines: Deadlines) -> Self {
+        Self { deadlines, idle: Idle::default() }
+    }
+
+    /// Sends a request, once, and waits for the head of the answer.
+    ///
+    /// # Errors
+    ///
+    /// [`Failure::NotSent`] only if no byte of the request was written.
+    pub async fn send(
+        &self,
+        address: SocketAddr,
+        id: RequestId,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Exchange, Failure> {
+        let mut request = request;
+        // A connection can close between being taken and being used. hyper then hands the
+        // request back unwritten, and only then may it be written to another connection.
+        while let Some(connection) = self.idle.take(address) {
+            match self.send_on(connection, address, id, request).await {
+                Ok(result) => return result,
+                Err(unwritten) => request = unwritten,
+            }
+        }
+        let connection = self.connect(address).await?;
+        match self.send_on(connection, address, id, request).await {
+            Ok(result) => result,
+            Err(_) => Err(Failure::NotSent { why: "the connection closed at once".into() }),
+        }
+    }
+
+    async fn connect(&self, address: SocketAddr) -> Result<Connection, Failure> {
+        let not_sent = |why: String| Failure::NotSent { why };
+        let stream = timeout(self.deadlines.connect, TcpStream::connect(address))
+            .await
+            .map_err(|_| not_sent("connecting took too long".into()))?
+            .map_err(|e| not_sent(e.to_string()))?;
+        stream.set_nodelay(true).map_err(|e| not_sent(e.to_string()))?;
+        let (connection, driver) =
+            http1::handshake(TokioIo::new(stream)).await.map_err(|e| not_sent(e.to_string()))?;
+        tokio::spawn(async move {
+            // Errors reach whoever uses the connection.
+            let _ = driver.await;
+        });
+        Ok(connection)
+    }
+
+    /// Sends on one connection; the request comes back if no byte of it was written.
+    async fn send_on(
+        &self,
+        mut connection: Connection,
+        address: SocketAddr,
+        id: RequestId,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Result<Exchange, Failure>, Request<Full<Bytes>>> {
+        if connection.ready().await.is_err() {
+            return Err(request);
+        }
+        let answer = timeout(self.deadlines.head, connection.try_send_request(request)).await;
+        let response = match answer {
+            Err(_) => return Ok(Err(Failure::Timeout)),
+            Ok(Err(mut error)) => {
+                return match error.take_message() {
+                    Some(request) => Err(request),
+                    None => Ok(Err(Failure::Broken { why: error.into_error().to_string() })),
+                };
+            }
+            Ok(Ok(response)) => response,
+        };
+        let idle = self.idle.clone();
+        let exchange = Exchange::new(response, connection, address, idle, self.deadlines.idle);
+        Ok(exchange.checked(id))
+    }
+}
--- /dev/null
+++ b/crates/broker/src/engine.rs
@@ -0,0 +1,300 @@
+//! The broker itself.
+
+use model::{
+    Announcement, Duty, Invariant, Outcome, RefusalReason, RequestId, ServerId, Span, Tier, Time,
+    VmName,
+};
+
+use crate::{
+    action::{Action, Offer, Placed},
+    config::Config,
+    pace::Pace,
+    pool::Pool,
+    queue::{Queue, Waiting},
+    route::Router,
+};
+
+/// Queues tickets and grants them servers, for one service in one availability zone.
+///
+/// Two rules hold at every step. Tickets are granted strictly by tier: none is granted while a
+/// higher tier waits. A ticket is declined for want of capacity only when no lower tier waits and
+/// none runs where it can be cancelled.
+pub struct Broker {
+    queue: Queue,
+    pool: Pool,
+    pace: Pace,
+    router: Box<dyn Router>,
+    max_waiting: usize,
+    ordered: bool,
+    warm_at: Time,
+}
+
+/// Sums over a broker, for operators.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Summary {
+    /// Tickets that wait.
+    pub waiting: usize,
+    /// Requests granted and not ended.
+    pub running: usize,
+    /// Each server: announcement, duty, requests in flight, slowness (1 is ordinary).
+    pub servers: Vec<(Announcement, Duty, u32, f64)>,
+}
+
+impl std::fmt::Debug for Broker {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Broker").field("summary", &self.summary()).finish_non_exhaustive()
+    }
+}
+
+impl Broker {
+    /// A broker without servers.
+    #[must_use]
+    pub fn new(config: Config) -> Self {
+        Self {
+            queue: Queue::new(config.ordered),
+            pool: Pool::new(config.max_prefixes),
+            pace: Pace::default(),
+            router: config.router,
+            max_waiting: config.max_waiting,
+            ordered: config.ordered,
+            warm_at: Time::default(),
+        }
+    }
+
+    /// Neither grants nor declines before this time, while servers and running requests are
+    /// reported to a broker that took over.
+    pub fn warm_up(&mut self, until: Time) {
+        self.warm_at = until;
+    }
+
+    /// Uses only this share of each server's window, when other brokers may grant it too.
+    pub fn set_share(&mut self, share: f64) {
+        self.pool.set_share(share);
+    }
+
+    /// Takes a server's announcement, which adds it or extends its time to live.
+    pub fn announce(&mut self, now: Time, info: Announcement, out: &mut Vec<Action>) {
+        self.pool.announce(now, info);
+        self.pump(now, out);
+    }
+
+    /// Applies an operator's declaration; a server that is not serving gets no new grant.
+    pub fn mark(&mut self, id: &ServerId, duty: Duty) {
+        self.pool.mark(id, duty);
+    }
+
+    /// Takes a ticket.
+    ///
+    /// A request that already waits is ignored, and one that was granted gets the same grant
+    /// again: its entry VM sends a ticket twice when an answer was lost.
+    pub fn submit(&mut self, now: Time, offer: Offer, out: &mut Vec<Action>) {
+        let request = offer.ticket.request;
+        if let Some((server, address)) = self.pool.placement(request) {
+            out.push(Action::Grant { request, owner: offer.owner, server, address });
+            return;
+        }
+        if self.queue.contains(request) {
+            return;
+        }
+        let warm = now >= self.warm_at;
+        if warm && !self.pool.any_serving(now) {
+            out.push(decline(&offer, RefusalReason::NoServer));
+            return;
+        }
+        if self.pace.is_known() && self.pace.first(&offer.ticket, true) > budget_s(&offer) {
+            out.push(decline(&offer, RefusalReason::Deadline));
+            return;
+        }
+        let latest = self.latest_start(now, &offer);
+        if warm && self.must_overflow(now, &offer, latest) {
+            self.overflow(now, offer, out);
+            return;
+        }
+        let work = self.pace.total(&offer.ticket, false);
+        self.queue.push(offer, latest, work);
+        self.pump(now, out);
+        self.bound(out);
+    }
+
+    /// Takes over a request that an earlier broker granted.
+    pub fn adopt(&mut self, now: Time, placed: Placed) {
+        self.pool.adopt(now, placed, &self.pace);
+    }
+
+    /// Notes how a granted request ended.
+    pub fn finish(
+        &mut self,
+        now: Time,
+        request: RequestId,
+        outcome: Outcome,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(run) = self.pool.end(request) else {
+            return;
+        };
+        match outcome {
+            Outcome::Done { first, total, tokens } => {
+                let predicted = self.pace.total(&run.ticket, false);
+                if self.pace.is_known() {
+                    self.pool.observe(&run.server, predicted, total);
+                }
+                self.pace.observe(&run.ticket, first, total, tokens);
+            }
+            Outcome::Failed => self.pool.penalize(&run.server),
+            Outcome::NotSent => self.pool.lapse(&run.server),
+            Outcome::Cancelled => {}
+        }
+        self.pump(now, out);
+    }
+
+    /// Drops a ticket or a grant whose request ended before it was dispatched.
+    pub fn withdraw(&mut self, now: Time, request: RequestId, out: &mut Vec<Action>) {
+        if self.queue.remove(request).is_none() {
+            self.pool.end(request);
+        }
+        self.pump(now, out);
+    }
+
+    /// Drops everything that belongs to an entry VM that was lost.
+    pub fn forget(&mut self, now: Time, owner: &VmName, out: &mut Vec<Action>) {
+        for request in self.queue.owned_by(owner) {
+            self.queue.remove(request);
+        }
+        for request in self.pool.owned_by(owner) {
+            self.pool.end(request);
+        }
+        self.pump(now, out);
+    }
+
+    /// Lets time pass: lapsed servers, expired tickets, stragglers.
+    pub fn tick(&mut self, now: Time, out: &mut Vec<Action>) {
+        self.pool.refresh(now);
+        self.pump(now, out);
+        while let Some(request) = self.queue.expired(now) {
+            if let Some(waiting) = self.queue.remove(request) {
+                self.overflow(now, Offer { urgent: true, ..waiting.offer }, out);
+            }
+        }
+        if now >= self.warm_at && !self.pool.any_serving(now) {
+            self.decline_all(out);
+        }
+    }
+
+    /// Sums for operators.
+    #[must_use]
+    pub fn summary(&self) -> Summary {
+        Summary {
+            waiting: self.queue.len(),
+            running: self.pool.running_len(),
+            servers: self.pool.servers().map(|(i, d, r, s)| (i.clone(), d, r, s)).collect(),
+        }
+    }
+
+    /// Whether nothing waits, runs or serves here.
+    #[must_use]
+    pub fn is_idle(&self) -> bool {
+        self.queue.len() == 0 && self.pool.running_len() == 0 && self.pool.servers().count() == 0
+    }
+
+    /// The last moment at which a grant still meets the ticket's deadline.
+    fn latest_start(&self, now: Time, offer: &Offer) -> Time {
+        let first = Span::from_secs_f64(self.pace.first(&offer.ticket, false));
+        let slack = offer.ticket.budget - first;
+        now + slack
+    }
+
+    /// Whether the ticket is predicted to start too late if it waits.
+    fn must_overflow(&self, now: Time, offer: &Offer, latest: Time) -> bool {
+        if !self.ordered || self.pool.has_room(now) || !self.pace.is_known() {
+            return false;
+        }
+        let capacity = f64::from(self.pool.capacity(now).max(1));
+        let wait = Span::from_secs_f64(self.queue.work_before(offer.ticket.tier) / capacity);
+        now + wait > latest
+    }
+
+    /// Serves a ticket that cannot wait, at the cost of a lower tier, or declines it.
+    fn overflow(&mut self, now: Time, offer: Offer, out: &mut Vec<Action>) {
+        if !offer.urgent || !self.ordered {
+            out.push(decline(&offer, RefusalReason::Shed));
+            return;
+        }
+        let tier = offer.ticket.tier;
+        if let Some(victim) = self.pool.victim(now, tier)
+            && let Some(run) = self.pool.end(victim)
+        {
+            out.push(Action::Revoke { request: victim, owner: run.owner });
+            self.start(now, offer, &run.server, out);
+            return;
+        }
+        self.evict_below(tier, out);
+        Invariant::TierOrder.check(self.queue.lowest().is_none_or(|t| !tier.outranks(t)));
+        out.push(decline(&offer, RefusalReason::Shed));
+    }
+
+    /// Declines every waiting ticket of a tier lower than `tier`, lowest first.
+    fn evict_below(&mut self, tier: Tier, out: &mut Vec<Action>) {
+        while self.queue.lowest().is_some_and(|t| tier.outranks(t)) {
+            self.evict_last(out);
+        }
+    }
+
+    fn evict_last(&mut self, out: &mut Vec<Action>) {
+        if let Some(request) = self.queue.last()
+            && let Some(Waiting { offer, .. }) = self.queue.remove(request)
+        {
+            out.push(decline(&offer, RefusalReason::Shed));
+        }
+    }
+
+    fn bound(&mut self, out: &mut Vec<Action>) {
+        while self.queue.len() > self.max_waiting {
+            self.evict_last(out);
+        }
+    }
+
+    fn decline_all(&mut self, out: &mut Vec<Action>) {
+        for request in self.queue.requests() {
+            if let Some(waiting) = self.queue.remove(request) {
+                out.push(decline(&waiting.offer, RefusalReason::NoServer));
+            }
+        }
+    }
+
+    /// Grants waiting tickets in order while servers have room.
+    fn pump(&mut self, now: Time, out: &mut Vec<Action>) {
+        if now < self.warm_at {
+            return;
+        }
+        while let Some(head) = self.queue.head() {
+            let ticket = &head.offer.ticket;
+            let Some(server) = self.pool.choose(now, ticket, &self.pace, &mut *self.router) else {
+                return;
+            };
+            let Some(waiting) = self.queue.pop() else {
+                return;
+            };
+            self.start(now, waiting.offer, &server, out);
+        }
+    }
+
+    fn start(&mut self, now: Time, offer: Offer, server: &ServerId, out: &mut Vec<Action>) {
+        let waits = self.queue.head().map(|w| w.offer.ticket.tier);
+        let tier = offer.ticket.tier;
+        Invariant::GrantOrder
+            .check(!self.ordered || offer.urgent || waits.is_none_or(|t| !t.outranks(tier)));
+        let Offer { ticket, owner, .. } = offer;
+        let request = ticket.request;
+        if let Some(address) = self.pool.start(now, ticket, owner.clone(), server, &self.pace) {
+            out.push(Action::Grant { request, owner, server: server.clone(), address });
+        }
+    }
+}
+
+fn decline(offer: &Offer, reason: RefusalReason) -> Action {
+    Action::Decline { request: offer.ticket.request, owner: offer.owner.clone(), reason }
+}
+
+fn budget_s(offer: &Offer) -> f64 {
+    offer.ticket.budget.as_secs_f64()
+}
--- /dev/null
+++ b/crates/broker/src/lib.rs
@@ -0,0 +1,59 @@
+//! Decides which request goes to which backend server, for one service in one availability zone.
+//!
+//! A [`Broker`] queues tickets by tier, keeps the backend servers' own queues short, and chooses
+//! a server by what it observed itself. It performs no input or output and reads no clock: every
+//! call takes the time and appends to a list of [`Action`]s.
+//!
+//! # Examples
+//!
+//! ```
+//! use broker::{Action, Broker, Config, Offer};
+//! use model::{Kind, RawAnnouncement, RequestId, Span, Ticket, Tier, Time};
+//!
+//! let mut broker = Broker::new(Config::default());
+//! let mut actions = Vec::new();
+//! let now = Time::default();
+//! let raw = RawAnnouncement {
+//!     id: "engine-1".into(),
+//!     service: "loom-model".into(),
+//!     kind: Kind::Model,
+//!     address: "127.0.0.1:9000".into(),
+//!     slots: 4,
+//!     generation: 1,
+//!     fencing: Default::default(),
+//!     ttl_ms: 3_000,
+//!     load: 0,
+//! };
+//! broker.announce(now, raw.try_into()?, &mut actions);
+//! let ticket = Ticket {
+//!     request: RequestId::from(1),
+//!     account: "north-workshop".try_into()?,
+//!     service: "loom-model".try_into()?,
+//!     tier: Tier::HIGHEST,
+//!     budget: Span::from_secs(2),
+//!     prompt: 100,
+//!     answer: 50,
+//!     prefix: 0,
+//!     cancellable: true,
+//! };
+//! let offer = Offer { ticket, owner: "vm-1".try_into()?, urgent: false };
+//! broker.submit(now, offer, &mut actions);
+//! assert!(matches!(actions[0], Action::Grant { .. }));
+//! # Ok::<(), model::Error>(())
+//! ```
+
+mod action;
+mod config;
+mod engine;
+mod pace;
+mod pool;
+mod prefix;
+mod queue;
+mod route;
+
+pub use crate::{
+    action::{Action, Offer, Placed},
+    config::Config,
+    engine::{Broker, Summary},
+    route::{Candidate, LeastInFlight, LeastReported, Predicted, RoundRobin, Router, TwoChoices},
+};
--- /dev/null
+++ b/crates/broker/src/pace.rs
@@ -0,0 +1,84 @@
+//! How long requests of a service take, learnt from finished ones.
+
+use model::{Span, Ticket};
+
+/// Share of the old value kept at each observation.
+const DECAY: f64 = 0.98;
+/// Observations before predictions are used to refuse anything.
+const MIN_SAMPLES: u32 = 16;
+/// Assumed time to the first byte before anything was observed, in seconds.
+const FIRST_DEFAULT_S: f64 = 0.02;
+/// Share of a prompt's prefill that a held prefix saves.
+pub(crate) const PREFIX_SAVING: f64 = 0.8;
+
+/// A running linear fit of seconds to the first byte against prompt tokens, and of seconds per
+/// generated token.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Pace {
+    samples: u32,
+    n: f64,
+    sum_x: f64,
+    sum_y: f64,
+    sum_xx: f64,
+    sum_xy: f64,
+    gap: f64,
+    length_ratio: f64,
+}
+
+impl Pace {
+    /// Learns from one finished request.
+    pub(crate) fn observe(&mut self, ticket: &Ticket, first: Span, total: Span, tokens: u32) {
+        let x = f64::from(ticket.prompt);
+        let y = first.as_secs_f64();
+        self.n = self.n * DECAY + 1.0;
+        self.sum_x = self.sum_x * DECAY + x;
+        self.sum_y = self.sum_y * DECAY + y;
+        self.sum_xx = self.sum_xx * DECAY + x * x;
+        self.sum_xy = self.sum_xy * DECAY + x * y;
+        self.samples = self.samples.saturating_add(1);
+        if tokens > 0 {
+            let gap = (total - first).as_secs_f64() / f64::from(tokens);
+            let ratio = f64::from(tokens) / f64::from(ticket.answer.max(1));
+            self.gap = blend(self.gap, gap);
+            self.length_ratio = blend(self.length_ratio, ratio);
+        }
+    }
+
+    /// Whether enough was observed to refuse by prediction.
+    pub(crate) fn is_known(&self) -> bool {
+        self.samples >= MIN_SAMPLES
+    }
+
+    /// Predicted seconds to the first byte at a server of ordinary speed.
+    pub(crate) fn first(&self, ticket: &Ticket, held: bool) -> f64 {
+        if self.n < 1.0 {
+            return FIRST_DEFAULT_S;
+        }
+        let saved = if held { PREFIX_SAVING } else { 0.0 };
+        let x = f64::from(ticket.prompt) * (1.0 - saved);
+        let (base, slope) = self.line();
+        (base + slope * x).max(1e-4)
+    }
+
+    /// Predicted seconds from dispatch to the last byte.
+    pub(crate) fn total(&self, ticket: &Ticket, held: bool) -> f64 {
+        let ratio = if self.length_ratio > 0.0 { self.length_ratio.min(1.0) } else { 1.0 };
+        self.first(ticket, held) + self.gap * f64::from(ticket.answer) * ratio
+    }
+
+    fn line(&self) -> (f64, f64) {
+        let mean_x = self.sum_x / self.n;
+        let mean_y = self.sum_y / self.n;
+        let var = self.sum_xx / self.n - mean_x * mean_x;
+        if var <= mean_x * mean_x * 1e-6 {
+            return (mean_y, 0.0);
+        }
+        let slope = ((self.sum_xy / self.n - mean_x * mean_y) / var).max(0.0);
+        ((mean_y - slope * mean_x).max(0.0), slope)
+    }
+}
+
+/// An exponentially weighted mean whose first observation counts in full.
+pub(crate) fn blend(old: f64, new: f64) -> f64 {
+    if old == 0.0 { new } else { old * DECAY + new * (1.0 - DECAY) }
+}
--- /dev/null
+++ b/crates/broker/src/pool.rs
@@ -0,0 +1,285 @@
+//! The backend servers of one service in one zone, and what runs on them.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+};
+
+use model::{Announcement, Duty, Invariant, RequestId, ServerId, Span, Ticket, Tier, Time, VmName};
+
+use crate::{
+    action::Placed,
+    pace::{Pace, blend},
+    prefix::PrefixMap,
+    route::{Candidate, Router},
+};
+
+/// Slowness from which a server is given only probes.
+const STRAGGLER_RATIO: f64 = 2.5;
+/// Requests that a straggler may hold at once, so that its recovery is noticed.
+const PROBE_WINDOW: u32 = 1;
+/// Share by which an idle straggler's slowness decays to 1 at each check.
+const FORGIVE_RATE: f64 = 0.01;
+/// Weight of the newest observation in a server's slowness.
+const SLOWNESS_WEIGHT: f64 = 0.3;
+
+/// One backend server.
+#[derive(Debug)]
+pub(crate) struct Server {
+    pub(crate) info: Announcement,
+    pub(crate) lapses: Time,
+    pub(crate) duty: Duty,
+    running: u32,
+    work: f64,
+    slowness: f64,
+    overdue: f64,
+    prefixes: PrefixMap,
+}
+
+impl Server {
+    fn slowness(&self) -> f64 {
+        self.slowness.max(self.overdue)
+    }
+
+    #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "`as` saturates")]
+    fn window(&self, median: f64, share: f64) -> u32 {
+        let straggles = self.slowness() > STRAGGLER_RATIO * median;
+        if straggles {
+            return PROBE_WINDOW;
+        }
+        ((f64::from(self.info.slots) * share) as u32).max(1)
+    }
+}
+
+/// A granted request.
+#[derive(Debug)]
+pub(crate) struct Running {
+    pub(crate) ticket: Ticket,
+    pub(crate) owner: VmName,
+    pub(crate) server: ServerId,
+    pub(crate) since: Time,
+    work: f64,
+}
+
+/// Servers and granted requests.
+#[derive(Debug)]
+pub(crate) struct Pool {
+    servers: BTreeMap<ServerId, Server>,
+    running: HashMap<RequestId, Running>,
+    duties: BTreeMap<ServerId, Duty>,
+    median: f64,
+    share: f64,
+    max_prefixes: usize,
+}
+
+impl Pool {
+    pub(crate) fn new(max_prefixes: usize) -> Self {
+        Self {
+            servers: BTreeMap::new(),
+            running: HashMap::new(),
+            duties: BTreeMap::new(),
+            median: 1.0,
+            share: 1.0,
+            max_prefixes,
+        }
+    }
+
+    pub(crate) fn set_share(&mut self, share: f64) {
+        self.share = share;
+    }
+
+    pub(crate) fn announce(&mut self, now: Time, info: Announcement) {
+        let lapses = now + info.ttl;
+        if let Some(server) = self.servers.get_mut(&info.id) {
+            server.lapses = lapses;
+            server.info = info;
+            return;
+        }
+        let held: Vec<_> = self.running.values().filter(|r| r.server == info.id).collect();
+        let running = u32::try_from(held.len()).unwrap_or(u32::MAX);
+        let work = held.iter().map(|r| r.work).sum();
+        let duty = self.duties.get(&info.id).copied().unwrap_or(Duty::Serving);
+        let prefixes = PrefixMap::new(self.max_prefixes);
+        let id = info.id.clone();
+        let server =
+            Server { info, lapses, duty, running, work, slowness: 1.0, overdue: 0.0, prefixes };
+        self.servers.insert(id, server);
+    }
+
+    pub(crate) fn mark(&mut self, id: &ServerId, duty: Duty) {
+        self.duties.insert(id.clone(), duty);
+        if let Some(server) = self.servers.get_mut(id) {
+            server.duty = duty;
+        }
+    }
+
+    /// Drops servers whose announcement lapsed, and looks for stragglers.
+    pub(crate) fn refresh(&mut self, now: Time) {
+        self.servers.retain(|_, s| s.lapses > now);
+        for server in self.servers.values_mut() {
+            server.overdue = 0.0;
+            if server.running == 0 {
+                server.slowness += (1.0 - server.slowness) * FORGIVE_RATE;
+            }
+        }
+        for run in self.running.values() {
+            if let Some(server) = self.servers.get_mut(&run.server) {
+                let elapsed = (now - run.since).as_secs_f64();
+                server.overdue = server.overdue.max(elapsed / run.work.max(1e-3));
+            }
+        }
+        self.median = self.median_slowness();
+    }
+
+    fn median_slowness(&self) -> f64 {
+        let mut all: Vec<f64> = self.servers.values().map(|s| s.slowness).collect();
+        all.sort_by(f64::total_cmp);
+        all.get(all.len() / 2).copied().unwrap_or(1.0).max(0.5)
+    }
+
+    /// Servers that take new work.
+    fn serving(&self, now: Time) -> impl Iterator<Item = &Server> {
+        self.servers.values().filter(move |s| s.duty == Duty::Serving && s.lapses > now)
+    }
+
+    pub(crate) fn any_serving(&self, now: Time) -> bool {
+        self.serving(now).next().is_some()
+    }
+
+    /// Requests that the serving servers can work on at once.
+    pub(crate) fn capacity(&self, now: Time) -> u32 {
+        self.serving(now).map(|s| s.window(self.median, self.share)).sum()
+    }
+
+    /// Whether some server has room.
+    pub(crate) fn has_room(&self, now: Time) -> bool {
+        self.serving(now).any(|s| s.running < s.window(self.median, self.share))
+    }
+
+    /// Chooses a server with room for this ticket.
+    pub(crate) fn choose(
+        &self,
+        now: Time,
+        ticket: &Ticket,
+        pace: &Pace,
+        router: &mut dyn Router,
+    ) -> Option<ServerId> {
+        let room = self.serving(now).filter(|s| s.running < s.window(self.median, self.share));
+        let candidates: Vec<_> = room
+            .map(|s| Candidate {
+                id: &s.info.id,
+                slots: s.info.slots,
+                running: s.running,
+                reported: s.info.load,
+                work: s.work,
+                added: pace.total(ticket, s.prefixes.holds(ticket.prefix)),
+                slowness: s.slowness(),
+            })
+            .collect();
+        let chosen = router.choose(&candidates)?;
+        Some(candidates[chosen].id.clone())
+    }
+
+    /// Starts a request on a server, which must take new work.
+    pub(crate) fn start(
+        &mut self,
+        now: Time,
+        ticket: Ticket,
+        owner: VmName,
+        id: &ServerId,
+        pace: &Pace,
+    ) -> Option<SocketAddr> {
+        let server = self.servers.get_mut(id)?;
+        Invariant::LeavingServer.check(server.duty == Duty::Serving);
+        Invariant::Window.check(server.running < server.info.slots);
+        let work = pace.total(&ticket, server.prefixes.holds(ticket.prefix));
+        server.running += 1;
+        server.work += work;
+        server.prefixes.touch(ticket.prefix);
+        let address = server.info.address;
+        let run = Running { owner, server: id.clone(), since: now, work, ticket };
+        let old = self.running.insert(run.ticket.request, run);
+        Invariant::OneDispatch.check(old.is_none());
+        Some(address)
+    }
+
+    /// Takes over a request that another broker granted.
+    pub(crate) fn adopt(&mut self, now: Time, placed: Placed, pace: &Pace) {
+        if self.running.contains_key(&placed.ticket.request) {
+            return;
+        }
+        let work = pace.total(&placed.ticket, false);
+        if let Some(server) = self.servers.get_mut(&placed.server) {
+            server.running += 1;
+            server.work += work;
+        }
+        let Placed { ticket, owner, server } = placed;
+        let run = Running { owner, server, since: now, work, ticket };
+        self.running.insert(run.ticket.request, run);
+    }
+
+    /// Ends a request and frees its slot.
+    pub(crate) fn end(&mut self, request: RequestId) -> Option<Running> {
+        let run = self.running.remove(&request)?;
+        if let Some(server) = self.servers.get_mut(&run.server) {
+            server.running = server.running.saturating_sub(1);
+            server.work = if server.running == 0 { 0.0 } else { (server.work - run.work).max(0.0) };
+        }
+        Some(run)
+    }
+
+    /// Learns a server's speed from one finished request.
+    pub(crate) fn observe(&mut self, id: &ServerId, predicted: f64, total: Span) {
+        if let Some(server) = self.servers.get_mut(id) {
+            let ratio = (total.as_secs_f64() / predicted.max(1e-3)).clamp(0.1, 20.0);
+            server.slowness += (ratio - server.slowness) * SLOWNESS_WEIGHT;
+        }
+    }
+
+    /// Counts a failure as a very slow answer, so that the server gets only probes for a while.
+    pub(crate) fn penalize(&mut self, id: &ServerId) {
+        if let Some(server) = self.servers.get_mut(id) {
+            server.slowness = blend(0.0, STRAGGLER_RATIO * 2.0);
+        }
+    }
+
+    /// Forgets a server that refuses connections until it announces itself again.
+    pub(crate) fn lapse(&mut self, id: &ServerId) {
+        self.servers.remove(id);
+    }
+
+    /// The running request to cancel first for a ticket of `tier`: of the lowest tier, the one
+    /// with the least work spent on it.
+    pub(crate) fn victim(&self, now: Time, tier: Tier) -> Option<RequestId> {
+        let streams = self.running.values().filter(|r| r.ticket.cancellable);
+        let lower = streams.filter(|r| tier.outranks(r.ticket.tier));
+        let serving = |r: &&Running| {
+            self.servers.get(&r.server).is_some_and(|s| s.duty == Duty::Serving && s.lapses > now)
+        };
+        lower
+            .filter(serving)
+            .max_by_key(|r| (r.ticket.tier, r.since, r.ticket.request))
+            .map(|r| r.ticket.request)
+    }
+
+    /// The server that a granted request was given.
+    pub(crate) fn placement(&self, request: RequestId) -> Option<(ServerId, SocketAddr)> {
+        let run = self.running.get(&request)?;
+        let server = self.servers.get(&run.server)?;
+        Some((run.server.clone(), server.info.address))
+    }
+
+    /// Requests that this entry VM owns.
+    pub(crate) fn owned_by(&self, vm: &VmName) -> Vec<RequestId> {
+        let runs = self.running.values().filter(|r| r.owner == *vm);
+        runs.map(|r| r.ticket.request).collect()
+    }
+
+    pub(crate) fn running_len(&self) -> usize {
+        self.running.len()
+    }
+
+    pub(crate) fn servers(&self) -> impl Iterator<Item = (&Announcement, Duty, u32, f64)> {
+        self.servers.values().map(|s| (&s.info, s.duty, s.running, s.slowness()))
+    }
+}
--- /dev/null
+++ b/crates/control/src/homes.rs
@@ -0,0 +1,69 @@
+//! Limits of the accounts whose home this VM is.
+
+use std::sync::Arc;
+
+use limits::{Limiter, Side, part};
+use model::{AccountName, Catalogue, RefusalReason, RequestId, Span, Time, VmName};
+
+use crate::wire::Message;
+
+/// Interval at which idle accounts are dropped.
+const COMPACT_INTERVAL: Span = Span::from_secs(10);
+
+/// The limiter with the catalogue that it applies.
+#[derive(Debug, Default)]
+pub(crate) struct Homes {
+    limiter: Limiter,
+    compact_at: Time,
+}
+
+impl Homes {
+    /// The answer to an entry VM that asks for one request.
+    pub(crate) fn admit(
+        &mut self,
+        now: Time,
+        catalogue: &Arc<Catalogue>,
+        side: Side,
+        from: &VmName,
+        (request, account, tokens): (RequestId, &AccountName, u32),
+    ) -> Message {
+        let Some(entry) = catalogue.entry(account) else {
+            let reason = RefusalReason::UnknownAccount;
+            return Message::OverLimit { request, reason, retry: Span::ZERO };
+        };
+        let limits = part(entry.limits, side);
+        match self.limiter.admit(now, account, limits, request, from, tokens) {
+            Ok(()) => Message::Admitted { request },
+            Err(over) => Message::OverLimit { request, reason: over.reason, retry: over.retry },
+        }
+    }
+
+    /// Takes over a request that an earlier home admitted.
+    pub(crate) fn hold(
+        &mut self,
+        now: Time,
+        catalogue: &Arc<Catalogue>,
+        from: &VmName,
+        account: &AccountName,
+        request: RequestId,
+    ) {
+        if let Some(entry) = catalogue.entry(account) {
+            self.limiter.adopt(now, account, entry.limits, request, from);
+        }
+    }
+
+    pub(crate) fn release(&mut self, account: &AccountName, request: RequestId, ran: bool) {
+        self.limiter.release(account, request, ran);
+    }
+
+    pub(crate) fn forget(&mut self, vm: &VmName) {
+        self.limiter.forget(vm);
+    }
+
+    pub(crate) fn tick(&mut self, now: Time) {
+        if now >= self.compact_at {
+            self.compact_at = now + COMPACT_INTERVAL;
+            self.limiter.compact(now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/driver/src/lib.rs
@@ -0,0 +1,15 @@
+//! Runs a VM's control state on a thread of its own.
+//!
+//! The thread owns the [`control::Machine`]. Traffic threads talk to it through a [`Handle`], and
+//! read what every request needs from an immutable snapshot. A second thread writes the
+//! replicated log, so that a slow disk delays only what waits for it.
+
+mod disk;
+mod handle;
+mod thread;
+
+pub use crate::{
+    disk::{Disk, NoDisk},
+    handle::{Event, Handle, Submitted},
+    thread::{Outbox, start},
+};
--- /dev/null
+++ b/crates/fuchsiausher/src/bed.rs
@@ -0,0 +1,387 @@
+//! Entry VMs and stand-in backend servers on loopback, in this process.
+
+use std::{
+    net::{SocketAddr, TcpListener},
+    path::PathBuf,
+    time::Duration,
+};
+
+use error_stack::{Report, ResultExt};
+use serde_json::{Value, json};
+use settings::{Peer, Secrets, Settings, Waits};
+use stand::{Announcer, Answered, CallError, Config, Pace, Role, Server, call};
+
+use crate::{
+    client::AdminClient,
+    error::{Error, ErrorKind},
+    node::Node,
+};
+
+/// Longest wait for the entry VMs to become ready.
+const READY_TIMEOUT: Duration = Duration::from_secs(20);
+/// Interval at which readiness is looked at.
+const POLL: Duration = Duration::from_millis(50);
+/// Secret of operators on a bed.
+const ADMIN_SECRET: &str = "bed-admin-secret";
+/// Secret of backend servers on a bed.
+const ANNOUNCE_SECRET: &str = "bed-announce-secret";
+
+/// Backend servers of one kind.
+#[derive(Clone, Debug)]
+pub struct EngineGroup {
+    /// The service that they offer.
+    pub service: String,
+    /// What they run.
+    pub role: Role,
+    /// How many, spread over the zones in turn.
+    pub count: usize,
+    /// Requests that each works on at once.
+    pub slots: u64,
+    /// How fast they work.
+    pub pace: Pace,
+    /// Prefixes that each caches.
+    pub cache: usize,
+}
+
+/// What a [`Bed`] consists of.
+#[derive(Clone, Debug)]
+pub struct BedConfig {
+    /// Availability zone of each entry VM.
+    pub zones: Vec<String>,
+    /// How many of the entry VMs, from the first, have a disk and found the replicated log.
+    pub disks: usize,
+    /// Backend servers.
+    pub groups: Vec<EngineGroup>,
+    /// Catalogue entries as JSON.
+    pub entries: Vec<Value>,
+    /// Addresses at which each VM reaches each other one instead of the real ones, as
+    /// `(from, to, address)`; for links that a test cuts.
+    pub detours: Vec<(usize, usize, SocketAddr)>,
+}
+
+/// A catalogue entry for a test account whose credential is its name.
+#[must_use]
+pub fn account_entry(account: &str, tier: u8, services: &[&str]) -> Value {
+    json!({
+        "account": account,
+        "tier": tier,
+        "services": services,
+        "rate": 100_000,
+        "concurrent": 100_000,
+        "tokens": 1_000_000_000,
+        "credential": model::digest(account.as_bytes()),
+    })
+}
+
+/// The body of a chat completion with a prompt of about `prompt` tokens.
+#[must_use]
+pub fn chat_body(model: &str, prompt: usize, max_tokens: u64, stream: bool) -> Vec<u8> {
+    json!({
+        "model": model,
+        "stream": stream,
+        "max_tokens": max_tokens,
+        "messages": [{ "role": "user", "content": "abc ".repeat(prompt) }],
+    })
+    .to_string()
+    .into_bytes()
+}
+
+impl BedConfig {
+    /// One entry VM, one model engine, one plain service, and the accounts `tier-0` to `tier-4`.
+    #[must_use]
+    pub fn small() -> Self {
+        let pace = Pace { prefill_us: 20, decode_us: 2_000 };
+        let group = |service: &str, role, slots| EngineGroup {
+            service: service.into(),
+            role,
+            count: 1,
+            slots,
+            pace,
+            cache: 8,
+        };
+        Self {
+            zones: vec!["zone-a".into()],
+            disks: 1,
+            groups: vec![group("loom-model", Role::Engine, 4), group("order-desk", Role::Plain, 8)],
+            entries: (0..5)
+                .map(|t| account_entry(&format!("tier-{t}"), t, &["loom-model", "order-desk"]))
+                .collect(),
+            detours: Vec::new(),
+        }
+    }
+
+    /// Four entry VMs in three zones, three of them with disks; six engines and three plain
+    /// services.
+    #[must_use]
+    pub fn zones() -> Self {
+        let mut config = Self::small();
+        config.zones = ["zone-a", "zone-b", "zone-c", "zone-a"].map(String::from).to_vec();
+        config.disks = 3;
+        config.groups[0].count = 6;
+        config.groups[1].count = 3;
+        config
+    }
+}
+
+/// Running entry VMs and backend servers.
+#[derive(Debug)]
+pub struct Bed {
+    config: BedConfig,
+    settings: Vec<Settings>,
+    nodes: Vec<Option<Node>>,
+    /// The backend servers, in the order of their groups.
+    pub servers: Vec<Server>,
+    folder: PathBuf,
+}
+
+impl Bed {
+    /// Starts everything and puts the catalogue in force.
+    ///
+    /// # Errors
+    ///
+    /// If something does not start, or the catalogue is not accepted.
+    pub async fn start(config: BedConfig) -> Result<Self, Report<Error>> {
+        let folder =
+            std::env::temp_dir().join(format!("fuchsiausher-bed-{:x}", rand::random::<u64>()));
+        let settings = make_settings(&config, &folder);
+        let nodes = settings.iter().map(|_| None).collect();
+        let mut bed = Self { config, settings, nodes, servers: Vec::new(), folder };
+        for at in 0..bed.settings.len() {
+            bed.start_node(at).await?;
+        }
+        bed.start_servers().await?;
+        bed.wait_ready().await?;
+        bed.put_entries().await?;
+        bed.wait_servers().await?;
+        Ok(bed)
+    }
+
+    /// Starts an entry VM that is not running; its data folder is as it was left.
+    ///
+    /// # Errors
+    ///
+    /// If it cannot be started.
+    pub async fn start_node(&mut self, at: usize) -> Result<(), Report<Error>> {
+        self.nodes[at] = Some(Node::start(&self.settings[at]).await?);
+        Ok(())
+    }
+
+    async fn start_servers(&mut self) -> Result<(), Report<Error>> {
+        let mut zones = self.config.zones.clone();
+        zones.sort();
+        zones.dedup();
+        for group in self.config.groups.clone() {
+            for i in 0..group.count {
+                let zone = zones[i % zones.len()].clone();
+                let config = Config {
+                    id: format!("{}-{}", group.service, i + 1),
+                    service: group.service.clone(),
+                    role: group.role,
+                    slots: group.slots,
+                    pace: group.pace,
+                    cache: group.cache,
+                    zone: zone.clone(),
+                };
+                let mut server =
+                    Server::start(config).await.change_context_lazy(|| bed_error("a stand-in"))?;
+                server.announce(self.announcer(&zone));
+                self.servers.push(server);
+            }
+        }
+        Ok(())
+    }
+
+    /// Announces to the entry VMs of a zone.
+    #[must_use]
+    pub fn announcer(&self, zone: &str) -> Announcer {
+        let in_zone = self.settings.iter().filter(|s| s.zone.as_str() == zone);
+        let admins = in_zone.map(|s| s.admin).collect();
+        Announcer { admins, secret: ANNOUNCE_SECRET.into() }
+    }
+
+    async fn wait_ready(&self) -> Result<(), Report<Error>> {
+        let all_ready = async {
+            while !self.nodes.iter().flatten().all(Node::is_ready) {
+                tokio::time::sleep(POLL).await;
+            }
+        };
+        tokio::time::timeout(READY_TIMEOUT, all_ready)
+            .await
+            .change_context_lazy(|| bed_error("the entry VMs did not become ready"))
+    }
+
+    async fn put_entries(&self) -> Result<(), Report<Error>> {
+        let edit = json!({ "id": "bed-entries", "base": 0, "put": self.config.entries });
+        let mut last = bed_error("no entry VM");
+        for _ in 0..20 {
+            match self.admin(0).post("/catalogue/edits", &edit).await {
+                Ok(_) => return Ok(()),
+                Err(error) => last = bed_error(&error.to_string()),
+            }
+            tokio::time::sleep(POLL * 4).await;
+        }
+        Err(last.into())
+    }
+
+    async fn wait_servers(&self) -> Result<(), Report<Error>> {
+        let known = async {
+            while self.known_servers().await < self.servers.len() {
+                tokio::time::sleep(POLL).await;
+            }
+        };
+        tokio::time::timeout(READY_TIMEOUT, known)
+            .await
+            .change_context_lazy(|| bed_error("the backend servers were not heard"))
+    }
+
+    async fn known_servers(&self) -> usize {
+        let mut known = 0;
+        for at in 0..self.nodes.len() {
+            let status = self.admin(at).get("/status").await.unwrap_or_default();
+            let servers = status["servers"].as_array().map_or(0, |servers| {
+                servers.iter().filter(|s| !s["announcement"].is_null()).count()
+            });
+            known += servers;
+        }
+        known
+    }
+
+    /// Operators' calls to an entry VM.
+    #[must_use]
+    pub fn admin(&self, at: usize) -> AdminClient {
+        AdminClient::new(self.settings[at].admin, ADMIN_SECRET)
+    }
+
+    /// Where callers reach an entry VM.
+    #[must_use]
+    pub fn callers(&self, at: usize) -> SocketAddr {
+        self.settings[at].callers
+    }
+
+    /// Settings of an entry VM.
+    #[must_use]
+    pub fn settings(&self, at: usize) -> &Settings {
+        &self.settings[at]
+    }
+
+    /// An entry VM, if it is running.
+    #[must_use]
+    pub fn node(&self, at: usize) -> Option<&Node> {
+        self.nodes[at].as_ref()
+    }
+
+    /// Number of entry VMs, running or not.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.nodes.len()
+    }
+
+    /// Whether there are no entry VMs.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.nodes.is_empty()
+    }
+
+    /// Sends a chat completion as an account, whose credential is its name.
+    ///
+    /// # Errors
+    ///
+    /// If the answer does not arrive whole.
+    pub async fn chat(
+        &self,
+        at: usize,
+        account: &str,
+        body: Vec<u8>,
+    ) -> Result<Answered, CallError> {
+        let headers = [("authorization", format!("Bearer {account}"))];
+        call(self.callers(at), "POST", "/v1/chat/completions", &headers, body).await
+    }
+
+    /// Takes an entry VM out of the bed, to stop or kill it.
+    pub fn take_node(&mut self, at: usize) -> Option<Node> {
+        self.nodes[at].take()
+    }
+
+    /// Empties the data folder of an entry VM that is not running.
+    ///
+    /// # Errors
+    ///
+    /// If the folder cannot be removed.
+    pub fn lose_disk(&self, at: usize) -> std::io::Result<()> {
+        match &self.settings[at].data {
+            Some(folder) => std::fs::remove_dir_all(folder),
+            None => Ok(()),
+        }
+    }
+
+    /// Stops all entry VMs as planned and removes their data folders.
+    pub async fn stop(mut self) {
+        let nodes: Vec<Node> = self.nodes.iter_mut().filter_map(Option::take).collect();
+        let stops: Vec<_> = nodes.into_iter().map(|n| tokio::spawn(n.stop())).collect();
+        for stop in stops {
+            let _ = stop.await;
+        }
+    }
+}
+
+impl Drop for Bed {
+    fn drop(&mut self) {
+        for node in self.nodes.iter_mut().filter_map(Option::take) {
+            node.kill();
+        }
+        // Best effort: the folder lies in the system's place for temporary files.
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+fn bed_error(why: &str) -> Error {
+    ErrorKind::Bed(why.into()).into()
+}
+
+/// A loopback port that was free a moment ago.
+fn free_address() -> SocketAddr {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    TcpListener::bind(any).and_then(|l| l.local_addr()).unwrap_or(any)
+}
+
+fn make_settings(config: &BedConfig, folder: &std::path::Path) -> Vec<Settings> {
+    let name = |at: usize| format!("vm-{}", at + 1);
+    let vm = |at: usize| name(at).try_into().expect("a valid name");
+    let zone = |at: usize| config.zones[at].clone().try_into().expect("a valid name");
+    let addresses: Vec<[SocketAddr; 3]> =
+        config.zones.iter().map(|_| [free_address(), free_address(), free_address()]).collect();
+    let address = |from: usize, to: usize| {
+        let detour = config.detours.iter().find(|(f, t, _)| (*f, *t) == (from, to));
+        detour.map_or(addresses[to][2], |d| d.2)
+    };
+    let all = 0..config.zones.len();
+    let make = |at: usize| Settings {
+        vm: vm(at),
+        zone: zone(at),
+        callers: addresses[at][0],
+        admin: addresses[at][1],
+        listen: addresses[at][2],
+        data: (at < config.disks).then(|| folder.join(name(at))),
+        founders: (0..config.disks).map(vm).collect(),
+        max_body: 1 << 20,
+        peers: all
+            .clone()
+            .filter(|to| *to != at)
+            .map(|to| Peer { vm: vm(to), zone: zone(to), address: address(at, to) })
+            .collect(),
+        waits: Waits {
+            header: Duration::from_secs(5),
+            connect: Duration::from_millis(500),
+            head: Duration::from_secs(20),
+            idle: Duration::from_secs(10),
+            deadline: Duration::from_secs(10),
+            stop: Duration::from_mins(1),
+        },
+        secrets: Secrets {
+            cluster: "a shared key of the test bed".into(),
+            admin: ADMIN_SECRET.into(),
+            announce: ANNOUNCE_SECRET.into(),
+        },
+    };
+    all.clone().map(make).collect()
+}
--- /dev/null
+++ b/crates/fuchsiausher/src/lib.rs
@@ -0,0 +1,43 @@
+//! A request scheduler that stands between callers and backend servers.
+//!
+//! An entry VM runs one [`Node`]. It admits or refuses requests by a catalogue of client accounts,
+//! queues them by tier at the broker of their service, sends each to a backend server at most
+//! once, and records every refusal for its owner.
+//!
+//! The parts are crates of their own: `model` (checked types), `broker` and `limits` (decisions),
+//! `raft` and `state` (the replicated catalogue and claims), `control` (one state machine over all
+//! of these), `driver` (its thread), `store`, `peer`, `backend`, `entry` (files and sockets) and
+//! `settings`.
+//!
+//! # Examples
+//!
+//! A [`Bed`] runs entry VMs and stand-in backend servers on loopback.
+//!
+//! ```
+//! use fuchsiausher::{Bed, BedConfig, chat_body};
+//!
+//! # tokio::runtime::Runtime::new().unwrap().block_on(async {
+//! let bed = Bed::start(BedConfig::small()).await.unwrap();
+//! let answer = bed.chat(0, "tier-0", chat_body("loom-model", 100, 3, true)).await.unwrap();
+//! assert_eq!(answer.status, 200);
+//! assert!(answer.body.ends_with(b"data: [DONE]\n\n"));
+//! bed.stop().await;
+//! # });
+//! ```
+
+mod bed;
+mod cli;
+mod client;
+mod demo;
+mod error;
+mod links;
+mod node;
+mod report;
+
+pub use crate::{
+    bed::{Bed, BedConfig, EngineGroup, account_entry, chat_body},
+    cli::{Exit, main},
+    client::{AdminClient, AdminError},
+    error::Error,
+    node::Node,
+};
--- /dev/null
+++ b/crates/fuchsiausher/src/main.rs
@@ -0,0 +1,7 @@
+//! The `fuchsiausher` command.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    fuchsiausher::main()
+}
--- /dev/null
+++ b/crates/fuchsiausher/src/node.rs
@@ -0,0 +1,246 @@
+//! One entry VM's process, put together from its parts.
+
+use std::{
+    collections::BTreeSet,
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use backend::{Client, Deadlines};
+use control::{Input, PeerSetup, Setup};
+use driver::{Disk, Handle, NoDisk};
+use entry::{App, AppConfig};
+use error_stack::{Report, ResultExt};
+use meters::Meters;
+use peer::{Key, Links, PeerAddress};
+use raft::{Member, Persist};
+use settings::Settings;
+use store::{Journal, Ledger, LedgerConfig, RefusalStore};
+use tokio::{net::TcpListener, sync::watch, task::JoinHandle};
+
+use crate::{
+    error::{Error, ErrorKind},
+    links::{LinkOutbox, LinkPeers},
+};
+
+/// Time between failing the readiness check and closing the callers' listener, so that the
+/// balancer and the other VMs notice first.
+const DRAIN_DELAY: Duration = Duration::from_millis(1_200);
+/// Time for the last messages to other VMs after the last request ended.
+const FAREWELL: Duration = Duration::from_millis(300);
+/// Longest wait for operators' calls in flight.
+const ADMIN_GRACE: Duration = Duration::from_secs(2);
+/// Exit code after a failed write of the replicated log.
+const EXIT_DISK: i32 = 74;
+
+type Result<T> = std::result::Result<T, Report<Error>>;
+
+/// A running entry VM.
+#[derive(Debug)]
+pub struct Node {
+    app: App,
+    handle: Handle,
+    meters: Arc<Meters>,
+    stop_callers: watch::Sender<bool>,
+    stop_others: watch::Sender<bool>,
+    callers: JoinHandle<bool>,
+    admin: JoinHandle<bool>,
+    peers: JoinHandle<()>,
+}
+
+/// The replicated log in a data folder.
+struct JournalDisk(Journal);
+
+impl Disk for JournalDisk {
+    type Error = Report<store::Error>;
+
+    fn write(&mut self, cluster: u64, batches: &[Persist]) -> std::result::Result<(), Self::Error> {
+        self.0.write(cluster, batches)
+    }
+}
+
+impl Node {
+    /// Starts an entry VM. Must be called within a tokio runtime.
+    ///
+    /// # Errors
+    ///
+    /// If the data folder cannot be used, or an address cannot be bound.
+    pub async fn start(settings: &Settings) -> Result<Self> {
+        let incarnation = wall_micros();
+        let meters =
+            Meters::new(settings.vm.as_str()).change_context(Error::from(ErrorKind::Metrics))?;
+        let meters = Arc::new(meters);
+        let links = links(settings, incarnation, &meters)?;
+        let (handle, ledger) = start_control(settings, incarnation, &links, &meters)?;
+        let app = App::new(AppConfig {
+            vm: settings.vm.clone(),
+            zone: settings.zone.clone(),
+            handle: handle.clone(),
+            client: Client::new(Deadlines {
+                connect: settings.waits.connect,
+                head: settings.waits.head,
+                idle: settings.waits.idle,
+            }),
+            ledger,
+            meters: Arc::clone(&meters),
+            peers: Box::new(LinkPeers(links)),
+            max_body: settings.max_body,
+            body_timeout: settings.waits.idle,
+            deadline: settings.waits.deadline,
+            admin_secret: settings.secrets.admin.clone(),
+            announce_secret: settings.secrets.announce.clone(),
+        });
+        let (stop_callers, callers_end) = watch::channel(false);
+        let (stop_others, others_end) = watch::channel(false);
+        let known: BTreeSet<_> = settings.peers.iter().map(|p| p.vm.clone()).collect();
+        let peers = peer::serve(
+            settings.listen,
+            settings.vm.clone(),
+            known,
+            key(settings)?,
+            Arc::new(app.clone()),
+            Arc::clone(&meters),
+            ended(others_end.clone()),
+        )
+        .await
+        .change_context_lazy(|| listen_error(settings.listen))?;
+        let header = settings.waits.header;
+        let listener = bind(settings.callers).await?;
+        let run = entry::listen(
+            listener,
+            entry::callers(&app),
+            app.clone(),
+            header,
+            ended(callers_end),
+            settings.waits.stop,
+        );
+        let callers = tokio::spawn(run);
+        let listener = bind(settings.admin).await?;
+        let run = entry::listen(
+            listener,
+            entry::admin(&app),
+            app.clone(),
+            header,
+            ended(others_end),
+            ADMIN_GRACE,
+        );
+        let admin = tokio::spawn(run);
+        spdlog::info!("entry VM {} serves callers on {}", settings.vm, settings.callers);
+        Ok(Self { app, handle, meters, stop_callers, stop_others, callers, admin, peers })
+    }
+
+    /// Whether callers' requests are wanted.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.app.is_ready()
+    }
+
+    /// Counters.
+    #[must_use]
+    pub fn meters(&self) -> &Meters {
+        &self.meters
+    }
+
+    /// Stops as planned: hands over its roles, finishes what is in flight, then ends. Returns
+    /// whether everything was finished in time.
+    pub async fn stop(self) -> bool {
+        self.app.stop();
+        self.handle.input(Input::Drain);
+        tokio::time::sleep(DRAIN_DELAY).await;
+        let _ = self.stop_callers.send(true);
+        let finished = self.callers.await.unwrap_or(false);
+        tokio::time::sleep(FAREWELL).await;
+        let _ = self.stop_others.send(true);
+        let _ = self.admin.await;
+        self.peers.abort();
+        self.handle.stop();
+        spdlog::info!("stopped; all requests finished: {finished}");
+        finished
+    }
+
+    /// Ends at once, as a crash would, within this process: nothing is handed over and
+    /// connections break.
+    pub fn kill(self) {
+        self.callers.abort();
+        self.admin.abort();
+        self.peers.abort();
+        self.handle.stop();
+    }
+}
+
+async fn ended(mut stop: watch::Receiver<bool>) {
+    // A dropped sender ends the listeners too.
+    let _ = stop.wait_for(|stop| *stop).await;
+}
+
+fn key(settings: &Settings) -> Result<Key> {
+    Key::try_from(settings.secrets.cluster.as_str()).change_context(Error::from(ErrorKind::Peers))
+}
+
+fn links(settings: &Settings, incarnation: u64, meters: &Arc<Meters>) -> Result<Links> {
+    let address = |p: &settings::Peer| PeerAddress { vm: p.vm.clone(), address: p.address };
+    let peers: Vec<_> = settings.peers.iter().map(address).collect();
+    let key = key(settings)?;
+    Links::new(settings.vm.clone(), incarnation, key, &peers, Arc::clone(meters))
+        .change_context(Error::from(ErrorKind::Peers))
+}
+
+/// Opens the data folder, if there is one, and starts the control thread.
+fn start_control(
+    settings: &Settings,
+    incarnation: u64,
+    links: &Links,
+    meters: &Arc<Meters>,
+) -> Result<(Handle, Arc<Ledger>)> {
+    let failed = |why: String| {
+        spdlog::critical!("the replicated log cannot be written: {why}");
+        // Whether the write reached the disk is unknown, and a retried sync may lie.
+        std::process::exit(EXIT_DISK);
+    };
+    let outbox = LinkOutbox(links.clone());
+    let meters = Arc::clone(meters);
+    let config = LedgerConfig { vm: settings.vm.clone(), incarnation };
+    let report = |e: &Report<store::Error>| spdlog::error!("refusals cannot be written: {e}");
+    let (handle, store) = if let Some(folder) = &settings.data {
+        let data = || Error::from(ErrorKind::Data);
+        let journal = Journal::open(folder, rand::random).change_context_lazy(data)?;
+        let stored = journal.load().change_context_lazy(data)?;
+        let setup = setup(settings, incarnation, journal.disk(), stored);
+        let disk = JournalDisk(journal);
+        let store = RefusalStore::open(folder).change_context_lazy(data)?;
+        (driver::start(&setup, outbox, disk, meters, failed), store)
+    } else {
+        let setup = setup(settings, incarnation, rand::random(), None);
+        (driver::start(&setup, outbox, NoDisk, meters, failed), RefusalStore::in_memory())
+    };
+    let handle = handle.change_context(Error::from(ErrorKind::Threads))?;
+    Ok((handle, Arc::new(Ledger::start(config, store, report))))
+}
+
+fn setup(settings: &Settings, incarnation: u64, disk: u64, stored: Option<raft::Stored>) -> Setup {
+    let peer = |p: &settings::Peer| PeerSetup { vm: p.vm.clone(), zone: p.zone.clone() };
+    Setup {
+        vm: settings.vm.clone(),
+        zone: settings.zone.clone(),
+        peers: settings.peers.iter().map(peer).collect(),
+        founders: settings.founders.clone(),
+        incarnation,
+        member: Member { vm: settings.vm.clone(), disk },
+        stored,
+        seed: rand::random(),
+    }
+}
+
+async fn bind(address: SocketAddr) -> Result<TcpListener> {
+    TcpListener::bind(address).await.change_context_lazy(|| listen_error(address))
+}
+
+fn listen_error(address: SocketAddr) -> Error {
+    ErrorKind::Listen(address.to_string()).into()
+}
+
+fn wall_micros() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since.as_micros()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/limits/src/lib.rs
@@ -0,0 +1,28 @@
+//! Limits of client accounts: requests per second, concurrent requests, tokens per second.
+//!
+//! One VM, the account's home, holds the limits of an account; a [`Limiter`] is that VM's part.
+//! It reads no clock and performs no input or output.
+//!
+//! # Examples
+//!
+//! ```
+//! use limits::Limiter;
+//! use model::{AccountName, Limits, RequestId, Time, VmName};
+//!
+//! let mut limiter = Limiter::default();
+//! let (account, vm) = (AccountName::try_from("a")?, VmName::try_from("vm-1")?);
+//! let limits = Limits { rate: 10, concurrent: 1, tokens: 100 };
+//! let now = Time::default();
+//! assert!(limiter.admit(now, &account, limits, RequestId::from(1), &vm, 5).is_ok());
+//! assert!(limiter.admit(now, &account, limits, RequestId::from(2), &vm, 5).is_err());
+//! # Ok::<(), model::Error>(())
+//! ```
+
+mod bucket;
+mod limiter;
+mod part;
+
+pub use crate::{
+    limiter::{Limiter, OverLimit},
+    part::{Side, part},
+};
--- /dev/null
+++ b/crates/limits/src/part.rs
@@ -0,0 +1,47 @@
+//! Parts of a limit for VMs that are cut off from each other.
+
+use model::Limits;
+
+/// Which VMs one side of a possible partition consists of.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Side {
+    /// VMs that are seen, oneself included.
+    pub visible: u32,
+    /// VMs that are configured.
+    pub all: u32,
+    /// Whether this side has the quorum of the replicated log.
+    pub quorum: bool,
+}
+
+/// The part of `limits` that one side of a partition may spend.
+///
+/// Every VM that may be on another side keeps a fixed part, rounded down, and the side with the
+/// quorum has all the rest. The parts of all sides therefore never add up to more than the limit,
+/// and a limit smaller than the number of VMs stays usable where the quorum is.
+///
+/// # Examples
+///
+/// ```
+/// use limits::{Side, part};
+/// use model::Limits;
+///
+/// let limits = Limits { rate: 10, concurrent: 1, tokens: 99 };
+/// let alone = part(limits, Side { visible: 1, all: 4, quorum: false });
+/// let others = part(limits, Side { visible: 3, all: 4, quorum: true });
+/// assert_eq!((alone.rate, others.rate), (2, 8));
+/// assert_eq!((alone.concurrent, others.concurrent), (0, 1));
+/// ```
+#[must_use]
+pub fn part(limits: Limits, side: Side) -> Limits {
+    Limits {
+        rate: share(limits.rate, side),
+        concurrent: share(limits.concurrent, side),
+        tokens: share(limits.tokens, side),
+    }
+}
+
+fn share(limit: u32, side: Side) -> u32 {
+    let each = limit / side.all.max(1);
+    let unseen = side.all.saturating_sub(side.visible);
+    if side.quorum { limit - each * unseen } else { each * side.visible.min(side.all) }
+}
--- /dev/null
+++ b/crates/model/src/lib.rs
@@ -0,0 +1,41 @@
+//! Checked types of the domain: names, tiers, catalogue entries, backend servers, refusals.
+//!
+//! Nothing here performs input or output. Raw input becomes a checked type by `TryFrom`, so a
+//! value of one of these types is always valid.
+//!
+//! # Examples
+//!
+//! ```
+//! use model::{AccountName, Tier};
+//!
+//! let account = AccountName::try_from("north-workshop")?;
+//! assert_eq!(account.as_str(), "north-workshop");
+//! assert!(Tier::try_from(9).is_err());
+//! # Ok::<(), model::Error>(())
+//! ```
+
+mod catalogue;
+mod error;
+mod hash;
+mod invariant;
+mod names;
+mod reason;
+mod refusal;
+mod request;
+mod server;
+mod tier;
+mod time;
+
+pub use crate::{
+    catalogue::{Catalogue, Credential, Edit, EditOutcome, Entry, Limits, RawEntry},
+    error::Error,
+    hash::{digest, pick},
+    invariant::Invariant,
+    names::{AccountName, EditId, ServerId, ServiceName, VmName, ZoneName},
+    reason::{RefusalReason, RetryReason, Verdict},
+    refusal::{Refusal, RefusalKey},
+    request::{Outcome, RequestId, Ticket},
+    server::{Announcement, Duty, Fencing, Kind, Mark, RawAnnouncement},
+    tier::{TIER_COUNT, Tier},
+    time::{Span, Time},
+};
--- /dev/null
+++ b/crates/model/src/tier.rs
@@ -0,0 +1,74 @@
+//! Classes of service.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+use crate::error::{Error, ErrorKind};
+
+/// Number of tiers.
+pub const TIER_COUNT: usize = 5;
+
+/// A class of service, 0 (highest, shed last) to 4 (lowest, shed first).
+///
+/// `Ord` follows the number, so a smaller tier is a higher class.
+///
+/// # Examples
+///
+/// ```
+/// use model::Tier;
+///
+/// let top = Tier::try_from(0)?;
+/// assert!(top.outranks(Tier::LOWEST));
+/// # Ok::<(), model::Error>(())
+/// ```
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(try_from = "u8", into = "u8")]
+pub struct Tier(u8);
+
+impl Tier {
+    /// The highest class.
+    pub const HIGHEST: Self = Self(0);
+    /// The lowest class.
+    pub const LOWEST: Self = Self(4);
+
+    /// All tiers, highest first.
+    pub fn all() -> impl DoubleEndedIterator<Item = Self> {
+        (Self::HIGHEST.0..=Self::LOWEST.0).map(Self)
+    }
+
+    /// Position in an array of [`TIER_COUNT`] elements.
+    #[must_use]
+    pub fn index(self) -> usize {
+        usize::from(self.0)
+    }
+
+    /// Whether this tier must be served before `other`.
+    #[must_use]
+    pub fn outranks(self, other: Self) -> bool {
+        self < other
+    }
+}
+
+impl TryFrom<u8> for Tier {
+    type Error = Error;
+
+    fn try_from(raw: u8) -> Result<Self, Error> {
+        if raw > Self::LOWEST.0 {
+            return Err(ErrorKind::Tier(raw).into());
+        }
+        Ok(Self(raw))
+    }
+}
+
+impl From<Tier> for u8 {
+    fn from(tier: Tier) -> Self {
+        tier.0
+    }
+}
+
+impl fmt::Display for Tier {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
--- /dev/null
+++ b/crates/peer/src/server.rs
@@ -0,0 +1,127 @@
+//! The listener for other VMs.
+
+use std::{
+    collections::BTreeSet,
+    future::Future,
+    net::SocketAddr,
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+
+use control::Message;
+use error_stack::{Report, ResultExt};
+use meters::{Meters, Op};
+use model::VmName;
+use tokio::net::TcpListener;
+use tokio_stream::wrappers::TcpListenerStream;
+use tonic::{Request, Response, Status, transport::Server};
+
+use crate::{
+    error::{Error, ErrorKind},
+    generated::{
+        Answer, Sealed,
+        peer_server::{Peer, PeerServer},
+    },
+    question::{Question, Respond},
+    replay::Replay,
+    seal::{Key, Purpose},
+};
+
+/// Largest accepted message, in bytes.
+pub(crate) const MAX_MESSAGE_BYTES: usize = 64 << 20;
+/// Interval of HTTP/2 pings, and longest wait for their answer.
+pub(crate) const KEEPALIVE: Duration = Duration::from_secs(2);
+
+struct Service<R> {
+    me: VmName,
+    known: BTreeSet<VmName>,
+    key: Key,
+    replay: Mutex<Replay>,
+    respond: Arc<R>,
+    meters: Arc<Meters>,
+}
+
+/// Listens for other VMs until `stop` ends.
+///
+/// # Errors
+///
+/// If the address cannot be bound.
+pub async fn serve<R: Respond + 'static>(
+    address: SocketAddr,
+    me: VmName,
+    known: BTreeSet<VmName>,
+    key: Key,
+    respond: Arc<R>,
+    meters: Arc<Meters>,
+    stop: impl Future<Output = ()> + Send + 'static,
+) -> Result<tokio::task::JoinHandle<()>, Report<Error>> {
+    let failed = || Error::from(ErrorKind::Bind(address.to_string()));
+    let listener = TcpListener::bind(address).await.change_context_lazy(failed)?;
+    let replay = Mutex::default();
+    let service = Service { me, known, key, replay, respond, meters };
+    let service = PeerServer::new(service)
+        .max_decoding_message_size(MAX_MESSAGE_BYTES)
+        .max_encoding_message_size(MAX_MESSAGE_BYTES);
+    let server = Server::builder()
+        .http2_keepalive_interval(Some(KEEPALIVE))
+        .http2_keepalive_timeout(Some(KEEPALIVE))
+        .tcp_nodelay(true)
+        .add_service(service);
+    let incoming = TcpListenerStream::new(listener);
+    Ok(tokio::spawn(async move {
+        if let Err(error) = server.serve_with_incoming_shutdown(incoming, stop).await {
+            spdlog::error!("the listener for other VMs ended: {error}");
+        }
+    }))
+}
+
+impl<R: Respond> Service<R> {
+    /// Checks who sent a call, that it is for this VM, and that it is not a repetition.
+    fn check(&self, purpose: Purpose, call: &Sealed) -> Result<VmName, Status> {
+        let refuse = |why: &'static str| {
+            self.meters.count(Op::StrangerRefused);
+            Status::unauthenticated(why)
+        };
+        if !self.key.verify(purpose, call) {
+            return Err(refuse("wrong MAC"));
+        }
+        let from = VmName::try_from(call.from.as_str()).map_err(|_| refuse("unknown VM"))?;
+        if !self.known.contains(&from) {
+            return Err(refuse("unknown VM"));
+        }
+        if call.to != self.me.as_str() {
+            return Err(refuse("call for another VM"));
+        }
+        let mut replay = self.replay.lock().unwrap_or_else(PoisonError::into_inner);
+        let fresh = match purpose {
+            Purpose::Deliver => replay.accept_ordered(&from, call.incarnation, call.seq),
+            Purpose::Ask | Purpose::Answer => replay.accept(&from, call.incarnation, call.seq),
+        };
+        if fresh { Ok(from) } else { Err(Status::already_exists("repeated or late call")) }
+    }
+}
+
+#[tonic::async_trait]
+impl<R: Respond + 'static> Peer for Service<R> {
+    async fn deliver(&self, request: Request<Sealed>) -> Result<Response<Answer>, Status> {
+        let call = request.into_inner();
+        let from = self.check(Purpose::Deliver, &call)?;
+        let messages: Vec<Message> = rmp_serde::from_slice(&call.payload)
+            .map_err(|e| Status::invalid_argument(e.to_string()))?;
+        for message in messages {
+            self.respond.deliver(from.clone(), message);
+        }
+        Ok(Response::new(self.key.seal_answer(&call, Vec::new())))
+    }
+
+    async fn ask(&self, request: Request<Sealed>) -> Result<Response<Answer>, Status> {
+        let call = request.into_inner();
+        let from = self.check(Purpose::Ask, &call)?;
+        let question: Question = rmp_serde::from_slice(&call.payload)
+            .map_err(|e| Status::invalid_argument(e.to_string()))?;
+        let reply = self.respond.respond(&from, question).await;
+        let payload =
+            rmp_serde::to_vec_named(&reply).map_err(|e| Status::internal(e.to_string()))?;
+        Ok(Response::new(self.key.seal_answer(&call, payload)))
+    }
+}
--- /dev/null
+++ b/crates/stand/src/stats.rs
@@ -0,0 +1,73 @@
+//! What a stand-in ran.
+
+use std::{
+    collections::HashMap,
+    sync::{
+        Mutex, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
+};
+
+/// Sums over a stand-in's life.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Totals {
+    /// Requests that reached it.
+    pub received: u64,
+    /// Requests answered whole.
+    pub finished: u64,
+    /// Prompt tokens prefilled.
+    pub prefilled: u64,
+    /// Prompt tokens prefilled for requests that did not finish, or again although the prefix
+    /// had been held.
+    pub wasted: u64,
+    /// Tokens generated.
+    pub generated: u64,
+}
+
+/// Counts what a stand-in ran.
+#[derive(Debug, Default)]
+pub struct Stats {
+    pub(crate) received: AtomicU64,
+    pub(crate) finished: AtomicU64,
+    pub(crate) prefilled: AtomicU64,
+    pub(crate) wasted: AtomicU64,
+    pub(crate) generated: AtomicU64,
+    pub(crate) running: AtomicU64,
+    runs: Mutex<HashMap<String, u64>>,
+}
+
+impl Stats {
+    /// Notes one run of something that may run once: a request id or an idempotency key.
+    pub(crate) fn run(&self, what: &str) {
+        let mut runs = self.runs.lock().unwrap_or_else(PoisonError::into_inner);
+        *runs.entry(what.to_owned()).or_default() += 1;
+    }
+
+    /// How often each request id and idempotency key ran here.
+    #[must_use]
+    pub fn runs(&self) -> HashMap<String, u64> {
+        self.runs.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Sums so far.
+    #[must_use]
+    pub fn totals(&self) -> Totals {
+        Totals {
+            received: self.received.load(Ordering::Relaxed),
+            finished: self.finished.load(Ordering::Relaxed),
+            prefilled: self.prefilled.load(Ordering::Relaxed),
+            wasted: self.wasted.load(Ordering::Relaxed),
+            generated: self.generated.load(Ordering::Relaxed),
+        }
+    }
+
+    /// Requests in progress.
+    #[must_use]
+    pub fn running(&self) -> u64 {
+        self.running.load(Ordering::Relaxed)
+    }
+}
+
+pub(crate) fn add(counter: &AtomicU64, amount: u64) {
+    counter.fetch_add(amount, Ordering::Relaxed);
+}
--- /dev/null
+++ b/crates/state/src/command.rs
@@ -0,0 +1,66 @@
+//! Commands and their responses.
+
+use model::{Edit, EditOutcome, RequestId, ServerId, VmName};
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    claim::{Answer, ClaimKey, ClaimOutcome},
+    place::Placement,
+};
+
+/// A change of the replicated state.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Command {
+    /// Edit the catalogue.
+    Edit(Edit),
+    /// Claim an idempotency key for one request.
+    Claim {
+        /// The key.
+        key: ClaimKey,
+        /// The request that wants to run.
+        request: RequestId,
+        /// Its entry VM.
+        owner: VmName,
+    },
+    /// Store the answer of a claimed request.
+    Settle {
+        /// The key.
+        key: ClaimKey,
+        /// The request that ran.
+        request: RequestId,
+        /// Its answer.
+        answer: Answer,
+    },
+    /// Give a claim back: the request certainly did not run.
+    Release {
+        /// The key.
+        key: ClaimKey,
+        /// The request that did not run.
+        request: RequestId,
+    },
+    /// Reserve fencing numbers.
+    Fence {
+        /// How many.
+        count: u64,
+    },
+    /// Set what a backend server shall run.
+    Place {
+        /// The server.
+        server: ServerId,
+        /// What it shall run; `None` forgets the server.
+        placement: Option<Placement>,
+    },
+}
+
+/// What became of a command.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Response {
+    /// Of an edit.
+    Edit(EditOutcome),
+    /// Of a claim.
+    Claim(ClaimOutcome),
+    /// Reserved fencing numbers: from the first, up to but without the second.
+    Fence(u64, u64),
+    /// Of a command that has no other outcome.
+    Done,
+}
--- /dev/null
+++ b/crates/store/src/error.rs
@@ -0,0 +1,40 @@
+//! The error of this crate.
+
+use std::fmt;
+
+/// Why the data folder cannot be used.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Error {
+    kind: ErrorKind,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum ErrorKind {
+    Open(String),
+    Read(&'static str),
+    Write(&'static str),
+    Corrupt { what: &'static str, key: u64 },
+    Hole { index: u64 },
+}
+
+impl From<ErrorKind> for Error {
+    fn from(kind: ErrorKind) -> Self {
+        Self { kind }
+    }
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match &self.kind {
+            ErrorKind::Open(path) => write!(f, "cannot open {path}"),
+            ErrorKind::Read(what) => write!(f, "cannot read {what}"),
+            ErrorKind::Write(what) => write!(f, "cannot write and sync {what}"),
+            ErrorKind::Corrupt { what, key } => {
+                write!(f, "{what} {key} is corrupt: its checksum does not match")
+            }
+            ErrorKind::Hole { index } => write!(f, "entry {index} of the log is missing"),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
--- /dev/null
+++ b/crates/store/src/journal.rs
@@ -0,0 +1,189 @@
+//! The replicated log on disk.
+
+use std::{fs, path::Path};
+
+use error_stack::{Report, ResultExt};
+use raft::{HardState, LogEntry, Persist, Snapshot, Stored};
+use redb::{Database, ReadableDatabase, ReadableTable, TableDefinition};
+
+use crate::{
+    error::{Error, ErrorKind},
+    record::{seal, unseal},
+};
+
+/// Entries by index.
+const ENTRIES: TableDefinition<'_, u64, &[u8]> = TableDefinition::new("entries");
+/// Single records by the keys below.
+const META: TableDefinition<'_, u64, &[u8]> = TableDefinition::new("meta");
+const DISK_KEY: u64 = 1;
+const CLUSTER_KEY: u64 = 2;
+const HARD_KEY: u64 = 3;
+const SNAPSHOT_KEY: u64 = 4;
+/// Name of the database file in the data folder.
+const FILE: &str = "log.redb";
+
+type Result<T> = std::result::Result<T, Report<Error>>;
+
+/// The replicated log in a data folder.
+#[derive(Debug)]
+pub struct Journal {
+    db: Database,
+    disk: u64,
+}
+
+impl Journal {
+    /// Opens the log in a data folder, which is created if it does not exist; `draw` gives the
+    /// identity of a folder that is new.
+    ///
+    /// # Errors
+    ///
+    /// If the folder cannot be opened, or its identity cannot be read.
+    pub fn open(folder: &Path, draw: impl FnOnce() -> u64) -> Result<Self> {
+        let path = folder.join(FILE);
+        let failed = || Error::from(ErrorKind::Open(path.display().to_string()));
+        fs::create_dir_all(folder).change_context_lazy(failed)?;
+        let db = Database::create(&path).change_context_lazy(failed)?;
+        let mut journal = Self { db, disk: 0 };
+        journal.create_tables()?;
+        journal.disk = match journal.meta(DISK_KEY, "disk identity")? {
+            Some(disk) => disk,
+            None => journal.write_disk(draw())?,
+        };
+        // The folder's own entry for the file must survive too.
+        fs::File::open(folder).and_then(|f| f.sync_all()).change_context_lazy(failed)?;
+        Ok(journal)
+    }
+
+    /// Identity of this copy of the log.
+    #[must_use]
+    pub fn disk(&self) -> u64 {
+        self.disk
+    }
+
+    fn create_tables(&self) -> Result<()> {
+        let failed = || Error::from(ErrorKind::Write("tables"));
+        let txn = self.db.begin_write().change_context_lazy(failed)?;
+        txn.open_table(ENTRIES).change_context_lazy(failed)?;
+        txn.open_table(META).change_context_lazy(failed)?;
+        txn.commit().change_context_lazy(failed)
+    }
+
+    fn write_disk(&self, disk: u64) -> Result<u64> {
+        let failed = || Error::from(ErrorKind::Write("disk identity"));
+        let txn = self.db.begin_write().change_context_lazy(failed)?;
+        {
+            let mut meta = txn.open_table(META).change_context_lazy(failed)?;
+            let record = seal(&disk).ok_or_else(failed)?;
+            meta.insert(DISK_KEY, record.as_slice()).change_context_lazy(failed)?;
+        }
+        txn.commit().change_context_lazy(failed)?;
+        Ok(disk)
+    }
+
+    fn meta<T: serde::de::DeserializeOwned>(
+        &self,
+        key: u64,
+        what: &'static str,
+    ) -> Result<Option<T>> {
+        let failed = || Error::from(ErrorKind::Read(what));
+        let txn = self.db.begin_read().change_context_lazy(failed)?;
+        let meta = txn.open_table(META).change_context_lazy(failed)?;
+        let Some(record) = meta.get(key).change_context_lazy(failed)? else {
+            return Ok(None);
+        };
+        let value = unseal(record.value());
+        value.map(Some).ok_or_else(|| Error::from(ErrorKind::Corrupt { what, key }).into())
+    }
+
+    /// Everything that was written, or `None` if no log was founded or joined.
+    ///
+    /// # Errors
+    ///
+    /// If a record cannot be read, is corrupt, or an entry is missing.
+    pub fn load(&self) -> Result<Option<Stored>> {
+        let Some(cluster) = self.meta(CLUSTER_KEY, "cluster identity")? else {
+            return Ok(None);
+        };
+        let hard: Option<HardState> = self.meta(HARD_KEY, "vote")?;
+        let snapshot: Option<Snapshot> = self.meta(SNAPSHOT_KEY, "snapshot")?;
+        let snapshot = snapshot.ok_or_else(|| Error::from(ErrorKind::Read("snapshot")))?;
+        let entries = self.entries_after(snapshot.index)?;
+        Ok(Some(Stored { cluster, hard: hard.unwrap_or_default(), snapshot, entries }))
+    }
+
+    fn entries_after(&self, index: u64) -> Result<Vec<LogEntry>> {
+        let failed = || Error::from(ErrorKind::Read("entries"));
+        let txn = self.db.begin_read().change_context_lazy(failed)?;
+        let table = txn.open_table(ENTRIES).change_context_lazy(failed)?;
+        let mut entries: Vec<LogEntry> = Vec::new();
+        for item in table.range(index + 1..).change_context_lazy(failed)? {
+            let (key, record) = item.change_context_lazy(failed)?;
+            let key = key.value();
+            let corrupt = ErrorKind::Corrupt { what: "entry", key };
+            let entry: LogEntry =
+                unseal(record.value()).ok_or_else(|| Error::from(corrupt.clone()))?;
+            let expected = index + 1 + entries.len() as u64;
+            if key != expected || entry.index != expected {
+                return Err(Error::from(ErrorKind::Hole { index: expected }).into());
+            }
+            entries.push(entry);
+        }
+        Ok(entries)
+    }
+
+    /// Writes batches in order, in one synced transaction.
+    ///
+    /// # Errors
+    ///
+    /// If they cannot be written and synced. What is on disk is then unknown, so the process
+    /// must end: retrying a failed sync can report success for data that was lost.
+    pub fn write(&mut self, cluster: u64, batches: &[Persist]) -> Result<()> {
+        let failed = || Error::from(ErrorKind::Write("log"));
+        let txn = self.db.begin_write().change_context_lazy(failed)?;
+        {
+            let mut meta = txn.open_table(META).change_context_lazy(failed)?;
+            let mut entries = txn.open_table(ENTRIES).change_context_lazy(failed)?;
+            let mut put = |key: u64, record: Option<Vec<u8>>| -> Result<()> {
+                let record = record.ok_or_else(failed)?;
+                meta.insert(key, record.as_slice()).change_context_lazy(failed)?;
+                Ok(())
+            };
+            put(CLUSTER_KEY, seal(&cluster))?;
+            for batch in batches {
+                if let Some(hard) = &batch.hard {
+                    put(HARD_KEY, seal(hard))?;
+                }
+                if let Some(snapshot) = &batch.snapshot {
+                    put(SNAPSHOT_KEY, seal(snapshot))?;
+                }
+                write_entries(&mut entries, batch).change_context_lazy(failed)?;
+            }
+        }
+        txn.commit().change_context_lazy(failed)
+    }
+}
+
+fn write_entries(
+    table: &mut redb::Table<'_, u64, &[u8]>,
+    batch: &Persist,
+) -> std::result::Result<(), redb::StorageError> {
+    if let Some(snapshot) = &batch.snapshot {
+        table.retain_in(..=snapshot.index, |_, _| false)?;
+        let continues = match table.get(snapshot.index + 1)? {
+            Some(record) => unseal::<LogEntry>(record.value()).is_some(),
+            None => false,
+        };
+        if !continues {
+            table.retain(|_, _| false)?;
+        }
+    }
+    if let Some(index) = batch.truncate {
+        table.retain_in(index.., |_, _| false)?;
+    }
+    for entry in &batch.entries {
+        if let Some(record) = seal(entry) {
+            table.insert(entry.index, record.as_slice())?;
+        }
+    }
+    Ok(())
+}
