--- a/crates/fuchsiausher/src/lib.rs
+++ b/crates/fuchsiausher/src/lib.rs
@@ -31,13 +31,16 @@
 mod demo;
 mod error;
 mod links;
+mod load;
 mod node;
-mod report;
+mod promises;
 
 pub use crate::{
     bed::{Bed, BedConfig, EngineGroup, account_entry, chat_body},
     cli::{Exit, main},
     client::{AdminClient, AdminError},
     error::Error,
+    load::{Balancer, Hit, Shot, ShotKind, fire},
     node::Node,
+    promises::{Promise, check_promises},
 };
--- /dev/null
+++ b/crates/fuchsiausher/src/load.rs
@@ -0,0 +1,264 @@
+//! Open-loop load on a bed: every request is sent at its intended time, however slow the answers.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc, RwLock,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+use entry::Failed;
+use model::{RefusalReason, Verdict};
+use serde_json::{Value, json};
+use stand::{Answered, CallError, call};
+use tokio::{task::JoinHandle, time::Instant};
+
+use crate::bed::Bed;
+
+/// Interval of the balancer's readiness checks.
+const PROBE_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Stands in for the platform's balancer: spreads calls over the entry VMs that say they are
+/// ready.
+#[derive(Debug)]
+pub struct Balancer {
+    all: Vec<SocketAddr>,
+    ready: Arc<RwLock<Vec<SocketAddr>>>,
+    next: AtomicUsize,
+    probing: JoinHandle<()>,
+}
+
+impl Balancer {
+    /// A balancer over all entry VMs of a bed.
+    #[must_use]
+    pub fn new(bed: &Bed) -> Self {
+        let all: Vec<SocketAddr> = (0..bed.len()).map(|at| bed.callers(at)).collect();
+        let ready = Arc::new(RwLock::new(all.clone()));
+        let probing = tokio::spawn(probe(all.clone(), Arc::clone(&ready)));
+        Self { all, ready, next: AtomicUsize::new(0), probing }
+    }
+
+    /// The entry VM for the next call.
+    #[must_use]
+    pub fn pick(&self) -> SocketAddr {
+        let at = self.next.fetch_add(1, Ordering::Relaxed);
+        let ready = self.ready.read().map(|r| r.clone()).unwrap_or_default();
+        let from = if ready.is_empty() { &self.all } else { &ready };
+        from[at % from.len()]
+    }
+}
+
+impl Drop for Balancer {
+    fn drop(&mut self) {
+        self.probing.abort();
+    }
+}
+
+async fn probe(all: Vec<SocketAddr>, ready: Arc<RwLock<Vec<SocketAddr>>>) {
+    loop {
+        let mut found = Vec::new();
+        for address in &all {
+            let answer = call(*address, "GET", "/health/ready", &[], Vec::new()).await;
+            if answer.is_ok_and(|a| a.status == 200) {
+                found.push(*address);
+            }
+        }
+        if let Ok(mut ready) = ready.write() {
+            *ready = found;
+        }
+        tokio::time::sleep(PROBE_INTERVAL).await;
+    }
+}
+
+/// What a request asks for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ShotKind {
+    /// A streamed chat completion.
+    Chat {
+        /// Model service.
+        model: String,
+        /// Shared first message, if any, in tokens and by number.
+        prefix: Option<(usize, u32)>,
+        /// Length of the caller's own message in tokens.
+        prompt: usize,
+        /// Length of the answer in tokens.
+        tokens: u64,
+    },
+    /// An idempotent call of a plain service.
+    Read {
+        /// Plain service.
+        service: String,
+    },
+    /// A non-idempotent call of a plain service.
+    Write {
+        /// Plain service.
+        service: String,
+        /// Its idempotency key.
+        key: String,
+    },
+}
+
+/// One request of a load.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Shot {
+    /// When to send it, from the start of the load.
+    pub at: Duration,
+    /// The client account, whose credential is its name.
+    pub account: String,
+    /// Tier asked for.
+    pub tier: u8,
+    /// Deadline of the first byte.
+    pub deadline: Duration,
+    /// What it asks for.
+    pub kind: ShotKind,
+}
+
+/// What became of one request, as its caller saw it.
+#[derive(Clone, Debug)]
+pub struct Hit {
+    /// The request.
+    pub shot: Shot,
+    /// The entry VM that it went to.
+    pub vm: SocketAddr,
+    /// HTTP status; 0 if no answer arrived.
+    pub status: u16,
+    /// The request's id, if an answer arrived.
+    pub id: String,
+    /// Whether the answer is whole and the caller's own.
+    pub whole: bool,
+    /// Whether the connection broke without an answer or an error event.
+    pub cut: bool,
+    /// Reason and verdict of a failure.
+    pub failure: Option<(RefusalReason, Verdict)>,
+    /// Whether the answer is that of an earlier call with the same key.
+    pub replayed: bool,
+    /// From the intended time of sending to the first byte.
+    pub first: Duration,
+    /// From the intended time of sending to the last byte.
+    pub total: Duration,
+}
+
+impl Hit {
+    /// Whether the request was answered whole and began within its deadline.
+    #[must_use]
+    pub fn is_good(&self) -> bool {
+        self.whole && self.first <= self.shot.deadline
+    }
+}
+
+/// Sends a load and waits for all answers.
+pub async fn fire(balancer: Arc<Balancer>, shots: Vec<Shot>) -> Vec<Hit> {
+    let start = Instant::now();
+    let mut calls = Vec::with_capacity(shots.len());
+    for shot in shots {
+        let due = start + shot.at;
+        tokio::time::sleep_until(due).await;
+        calls.push(tokio::spawn(send(Arc::clone(&balancer), shot, due)));
+    }
+    let mut hits = Vec::with_capacity(calls.len());
+    for call in calls {
+        if let Ok(hit) = call.await {
+            hits.push(hit);
+        }
+    }
+    hits
+}
+
+async fn send(balancer: Arc<Balancer>, shot: Shot, due: Instant) -> Hit {
+    let mut headers = vec![
+        ("authorization", format!("Bearer {}", shot.account)),
+        ("x-tier", shot.tier.to_string()),
+        ("x-deadline-ms", shot.deadline.as_millis().to_string()),
+    ];
+    let (method, path, body) = match &shot.kind {
+        ShotKind::Chat { model, prefix, prompt, tokens } => {
+            let body = chat(model, *prefix, *prompt, *tokens);
+            ("POST", "/v1/chat/completions".to_owned(), body)
+        }
+        ShotKind::Read { service } => ("GET", format!("/services/{service}/stock"), Vec::new()),
+        ShotKind::Write { service, key } => {
+            headers.push(("idempotency-key", key.clone()));
+            ("POST", format!("/services/{service}/orders"), b"{}".to_vec())
+        }
+    };
+    let vm = balancer.pick();
+    let started = Instant::now();
+    let answer = call(vm, method, &path, &headers, body).await;
+    hit(shot, vm, answer, started - due, due.elapsed())
+}
+
+fn chat(model: &str, prefix: Option<(usize, u32)>, prompt: usize, tokens: u64) -> Vec<u8> {
+    let mut messages = Vec::new();
+    if let Some((length, number)) = prefix {
+        let text = format!("{number:03} ").repeat(length);
+        messages.push(json!({ "role": "system", "content": text }));
+    }
+    messages.push(json!({ "role": "user", "content": "abc ".repeat(prompt) }));
+    let value =
+        json!({ "model": model, "stream": true, "max_tokens": tokens, "messages": messages });
+    value.to_string().into_bytes()
+}
+
+fn hit(
+    shot: Shot,
+    vm: SocketAddr,
+    answer: Result<Answered, CallError>,
+    late: Duration,
+    total: Duration,
+) -> Hit {
+    let mut hit = Hit {
+        shot,
+        vm,
+        status: 0,
+        id: String::new(),
+        whole: false,
+        cut: false,
+        failure: None,
+        replayed: false,
+        first: total,
+        total,
+    };
+    let Ok(answer) = answer else {
+        hit.cut = true;
+        return hit;
+    };
+    hit.status = answer.status;
+    hit.first = late + answer.first;
+    hit.replayed = answer.headers.contains_key("x-replayed");
+    let id = answer.headers.get("x-request-id").and_then(|v| v.to_str().ok());
+    id.unwrap_or_default().clone_into(&mut hit.id);
+    hit.failure = failure(&answer.body);
+    let ok = answer.status == 200 && hit.failure.is_none();
+    hit.whole = ok
+        && match hit.shot.kind {
+            ShotKind::Chat { tokens, .. } => is_whole(&answer.body, &hit.id, tokens),
+            ShotKind::Read { .. } | ShotKind::Write { .. } => !answer.body.is_empty(),
+        };
+    hit.cut = ok && !hit.whole;
+    hit
+}
+
+/// Whether a stream has all its events, all of this request, and its end marker.
+fn is_whole(body: &[u8], id: &str, tokens: u64) -> bool {
+    let text = String::from_utf8_lossy(body);
+    let mut data = text.lines().filter_map(|l| l.strip_prefix("data: "));
+    let own = data
+        .by_ref()
+        .take_while(|d| *d != "[DONE]")
+        .filter(|d| {
+            let value: Option<Value> = serde_json::from_str(d).ok();
+            value.is_some_and(|v| v["id"] == id)
+        })
+        .count();
+    own as u64 == tokens && text.ends_with("data: [DONE]\n\n")
+}
+
+/// The failure that an answer reports, as its whole body or as the last event of a stream.
+fn failure(body: &[u8]) -> Option<(RefusalReason, Verdict)> {
+    let text = String::from_utf8_lossy(body);
+    let event = text.rsplit("event: error\ndata: ").next().unwrap_or(&text);
+    let failed: Failed = serde_json::from_str(event.trim()).ok()?;
+    Some((failed.error.reason, failed.error.verdict))
+}
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,1 +1,3 @@
+//! Measurements.
+
 fn main() {}
--- a/crates/stand/src/call.rs
+++ b/crates/stand/src/call.rs
@@ -1,8 +1,12 @@
 //! A small HTTP client for callers, operators and announcements.
 
-use std::{fmt, net::SocketAddr, time::Duration};
+use std::{
+    fmt,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
 use hyper::{HeaderMap, Request, client::conn::http1};
 use hyper_util::rt::TokioIo;
@@ -22,6 +26,8 @@
     pub headers: HeaderMap,
     /// Body.
     pub body: Bytes,
+    /// From the call to the first byte of the body, or to its end if it is empty.
+    pub first: Duration,
 }
 
 /// Why a call failed.
@@ -59,6 +65,7 @@
     headers: &[(&str, String)],
     body: impl Into<Bytes>,
 ) -> Result<Answered, CallError> {
+    let start = Instant::now();
     let connect = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
     let stream = connect
         .map_err(|_| CallError::Connect("timeout".into()))?
@@ -78,9 +85,17 @@
         request.body(Full::new(body.into())).map_err(|e| CallError::Broken(e.to_string()))?;
     let exchange = async {
         let response = sender.send_request(request).await.map_err(broken)?;
-        let (parts, body) = response.into_parts();
-        let body = body.collect().await.map_err(broken)?.to_bytes();
-        Ok(Answered { status: parts.status.as_u16(), headers: parts.headers, body })
+        let (parts, mut content) = response.into_parts();
+        let (mut body, mut first) = (BytesMut::new(), None);
+        while let Some(frame) = content.frame().await {
+            first.get_or_insert_with(|| start.elapsed());
+            if let Ok(data) = frame.map_err(broken)?.into_data() {
+                body.extend_from_slice(&data);
+            }
+        }
+        let first = first.unwrap_or_else(|| start.elapsed());
+        let status = parts.status.as_u16();
+        Ok(Answered { status, headers: parts.headers, body: body.freeze(), first })
     };
     timeout(ANSWER_TIMEOUT, exchange).await.unwrap_or(Err(CallError::Timeout))
 }
