Leave time for other zones before a ticket is shed, and end answers with their last byte

Cause: a ticket waited in its own zone until its deadline was near and was then refused as 'deadline' by the next zone; answers counted as left by the caller when the body was not polled for its end after the last byte. Change: a ticket that is not urgent waits half its slack in each zone; only the first zone asked may call a deadline infeasible, by half of the observed time to the first byte; an answer ends with its end marker or last announced byte.

--- a/crates/backend/src/exchange.rs
+++ b/crates/backend/src/exchange.rs
@@ -92,6 +92,13 @@
         }
     }
 
+    /// Reads the end of an answer of which all announced bytes have come, so that the
+    /// connection can be used again.
+    pub async fn finish(&mut self) {
+        // Anything but the end leaves the connection to be closed.
+        let _ = self.chunk().await;
+    }
+
     /// The whole answer.
     ///
     /// # Errors
--- a/crates/broker/src/engine.rs
+++ b/crates/broker/src/engine.rs
@@ -14,11 +14,15 @@
     route::Router,
 };
 
+/// Share of the observed time to the first byte that an idle server needs.
+const IDLE_SHARE: f64 = 0.5;
+
 /// Queues tickets and grants them servers, for one service in one availability zone.
 ///
 /// Two rules hold at every step. Tickets are granted strictly by tier: none is granted while a
-/// higher tier waits. A ticket is declined for want of capacity only when no lower tier waits and
-/// none runs where it can be cancelled.
+/// higher tier waits. An urgent ticket is declined for want of capacity only when no lower tier
+/// waits and none runs where it can be cancelled. One that is not urgent is merely sent on: its
+/// entry VM offers it to the other zones, and at last everywhere as urgent.
 pub struct Broker {
     queue: Queue,
     pool: Pool,
@@ -101,7 +105,7 @@
             out.push(decline(&offer, RefusalReason::NoServer));
             return;
         }
-        if self.pace.is_known() && self.pace.first(&offer.ticket, true) > budget_s(&offer) {
+        if self.is_infeasible(&offer) {
             out.push(decline(&offer, RefusalReason::Deadline));
             return;
         }
@@ -172,7 +176,7 @@
         self.pump(now, out);
         while let Some(request) = self.queue.expired(now) {
             if let Some(waiting) = self.queue.remove(request) {
-                self.overflow(now, Offer { urgent: true, ..waiting.offer }, out);
+                self.overflow(now, waiting.offer, out);
             }
         }
         if now >= self.warm_at && !self.pool.any_serving(now) {
@@ -196,11 +200,19 @@
         self.queue.len() == 0 && self.pool.running_len() == 0 && self.pool.servers().count() == 0
     }
 
-    /// The last moment at which a grant still meets the ticket's deadline.
+    /// Whether not even an idle server of ordinary speed would meet the ticket's deadline.
+    fn is_infeasible(&self, offer: &Offer) -> bool {
+        // Observations include waiting inside loaded engines, so an idle one is faster.
+        let idle = self.pace.first(&offer.ticket, true) * IDLE_SHARE;
+        self.pace.is_known() && idle > offer.ticket.budget.as_secs_f64()
+    }
+
+    /// Until when the ticket waits here. An urgent one waits as long as a grant still meets its
+    /// deadline; one that is not leaves half of that time to other zones.
     fn latest_start(&self, now: Time, offer: &Offer) -> Time {
         let first = Span::from_secs_f64(self.pace.first(&offer.ticket, false));
         let slack = offer.ticket.budget - first;
-        now + slack
+        if offer.urgent { now + slack } else { now + Span::from_micros(slack.as_micros() / 2) }
     }
 
     /// Whether the ticket is predicted to start too late if it waits.
@@ -294,7 +306,3 @@
 fn decline(offer: &Offer, reason: RefusalReason) -> Action {
     Action::Decline { request: offer.ticket.request, owner: offer.owner.clone(), reason }
 }
-
-fn budget_s(offer: &Offer) -> f64 {
-    offer.ticket.budget.as_secs_f64()
-}
--- a/crates/control/src/router.rs
+++ b/crates/control/src/router.rs
@@ -128,11 +128,13 @@
         if route.broker.as_ref() != Some(from) {
             return;
         }
-        if reason == RefusalReason::Deadline {
+        let first_ask = route.tried.is_empty() && !route.urgent;
+        if reason == RefusalReason::Deadline && first_ask {
             self.refuse(request, reason);
             return;
         }
-        route.shed |= reason == RefusalReason::Shed;
+        // A deadline that became infeasible by waiting was missed for want of capacity.
+        route.shed |= reason != RefusalReason::NoServer;
         route.tried.extend(route.zone.take());
         self.out.push(Output::Retried { reason: RetryReason::NextZone });
         self.ask_broker(request);
--- a/crates/entry/src/chat.rs
+++ b/crates/entry/src/chat.rs
@@ -114,6 +114,7 @@
     running: Running,
     reader: StreamReader,
     first: Option<Duration>,
+    complete: bool,
     ended: bool,
 }
 
@@ -122,7 +123,7 @@
     let mut response = head(&case, &running, content);
     response.headers_mut().insert(header::CACHE_CONTROL, HeaderValue::from_static("no-cache"));
     let reader = StreamReader::default();
-    let passing = Passing { case, running, reader, first: None, ended: false };
+    let passing = Passing { case, running, reader, first: None, complete: false, ended: false };
     *response.body_mut() = body::stream(stream::unfold(passing, next_piece));
     response
 }
@@ -134,7 +135,7 @@
     }
     let piece = tokio::select! {
         piece = passing.running.exchange.chunk() => piece,
-        () = revoked(&mut passing.running.submitted) => {
+        () = revoked(&mut passing.running.submitted), if !passing.complete => {
             passing.running.submitted.finish(Outcome::Cancelled);
             return Some(passing.break_off(preempted(Verdict::MayHaveRun)).await);
         }
@@ -144,10 +145,9 @@
             passing.take(&bytes);
             Some((Ok(bytes), passing))
         }
-        Ok(None) if passing.reader.end() == StreamEnd::Marked => {
-            passing.complete();
-            None
-        }
+        Ok(None) if passing.reader.end() == StreamEnd::Marked => None,
+        // The answer was whole; what breaks after its end marker is of no matter.
+        Err(_) if passing.complete => None,
         Ok(None) => {
             passing.running.submitted.finish(Outcome::Failed);
             let failing = Failing {
@@ -174,14 +174,19 @@
             let meters = &self.case.app.config.meters;
             meters.first_byte(self.case.arrived.elapsed().as_secs_f64());
         }
+        if self.reader.end() == StreamEnd::Marked && !self.complete {
+            self.complete();
+        }
     }
 
+    /// Ends the request. This is done with the end marker, not with the end of the body, because
+    /// callers may close the connection once they have the marker.
     fn complete(&mut self) {
+        self.complete = true;
         let total = self.running.sent.elapsed();
         let first = self.first.unwrap_or(total);
         self.running.submitted.finish(done(first, total, self.reader.events()));
         self.case.answered();
-        self.ended = true;
     }
 
     /// Marks the stream as broken, so that the caller does not take it for whole.
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -108,41 +108,58 @@
     case: Case,
     running: Running,
     first: Option<std::time::Duration>,
-    failed: bool,
+    /// Announced bytes that have not come yet.
+    left: Option<u64>,
+    ended: bool,
+}
+
+impl Passing {
+    fn complete(&mut self) {
+        self.ended = true;
+        let total = self.running.sent.elapsed();
+        let first = self.first.unwrap_or(total);
+        self.running.submitted.finish(done(first, total, 0));
+        self.case.app.config.meters.first_byte(first.as_secs_f64());
+        self.case.answered();
+    }
 }
 
 fn pass_through(case: Case, running: Running) -> Response<Body> {
     let mut response = head(&case, &running, Body::default());
-    if let Some(length) = running.exchange.headers().get(http::header::CONTENT_LENGTH) {
-        response.headers_mut().insert(http::header::CONTENT_LENGTH, length.clone());
+    let length = running.exchange.headers().get(http::header::CONTENT_LENGTH).cloned();
+    let left = length.as_ref().and_then(|l| l.to_str().ok()?.parse().ok());
+    if let Some(length) = length {
+        response.headers_mut().insert(http::header::CONTENT_LENGTH, length);
     }
-    let passing = Passing { case, running, first: None, failed: false };
+    let passing = Passing { case, running, first: None, left, ended: false };
     *response.body_mut() = body::stream(stream::unfold(passing, next_piece));
     response
 }
 
 async fn next_piece(mut passing: Passing) -> Option<(io::Result<Bytes>, Passing)> {
-    if passing.failed {
-        return None;
-    }
     match passing.running.exchange.chunk().await {
         Ok(Some(bytes)) => {
             passing.first.get_or_insert(passing.running.sent.elapsed());
+            passing.left = passing.left.map(|left| left.saturating_sub(bytes.len() as u64));
+            if passing.left == Some(0) {
+                // The body is not asked for its end once all announced bytes are there.
+                passing.complete();
+                passing.running.exchange.finish().await;
+            }
             Some((Ok(bytes), passing))
         }
         Ok(None) => {
-            let total = passing.running.sent.elapsed();
-            let first = passing.first.unwrap_or(total);
-            passing.running.submitted.finish(done(first, total, 0));
-            passing.case.app.config.meters.first_byte(first.as_secs_f64());
-            passing.case.answered();
+            if !passing.ended {
+                passing.complete();
+            }
             None
         }
+        Err(_) if passing.ended => None,
         Err(failure) => {
             passing.running.submitted.finish(Outcome::Failed);
             let failing = Failing { reason: RefusalReason::Broken, ..failed(&failure) };
             passing.case.fail(failing).await;
-            passing.failed = true;
+            passing.ended = true;
             // An error in the body ends the connection before the announced or final length, so
             // the caller sees that the answer is not whole.
             Some((Err(io::Error::other(failure)), passing))
