--- a/crates/broker/src/engine.rs
+++ b/crates/broker/src/engine.rs
@@ -93,8 +93,8 @@
     /// again: its entry VM sends a ticket twice when an answer was lost.
     pub fn submit(&mut self, now: Time, offer: Offer, out: &mut Vec<Action>) {
         let request = offer.ticket.request;
-        if let Some((server, address)) = self.pool.placement(request) {
-            out.push(Action::Grant { request, owner: offer.owner, server, address });
+        if let Some(run) = self.pool.get(request) {
+            out.extend(run.grant());
             return;
         }
         if self.queue.contains(request) {
--- a/crates/broker/src/pool.rs
+++ b/crates/broker/src/pool.rs
@@ -8,7 +8,7 @@
 use model::{Announcement, Duty, Invariant, RequestId, ServerId, Span, Ticket, Tier, Time, VmName};
 
 use crate::{
-    action::Placed,
+    action::{Action, Placed},
     pace::{Pace, blend},
     prefix::PrefixMap,
     route::{Candidate, Router},
@@ -58,9 +58,23 @@
     pub(crate) owner: VmName,
     pub(crate) server: ServerId,
     pub(crate) since: Time,
+    /// Where the server listened when the request was granted; unknown for one taken over.
+    address: Option<SocketAddr>,
     work: f64,
 }
 
+impl Running {
+    /// The grant again, as it was made.
+    pub(crate) fn grant(&self) -> Option<Action> {
+        Some(Action::Grant {
+            request: self.ticket.request,
+            owner: self.owner.clone(),
+            server: self.server.clone(),
+            address: self.address?,
+        })
+    }
+}
+
 /// Servers and granted requests.
 #[derive(Debug)]
 pub(crate) struct Pool {
@@ -197,7 +211,8 @@
         server.work += work;
         server.prefixes.touch(ticket.prefix);
         let address = server.info.address;
-        let run = Running { owner, server: id.clone(), since: now, work, ticket };
+        let run =
+            Running { owner, server: id.clone(), since: now, address: Some(address), work, ticket };
         let old = self.running.insert(run.ticket.request, run);
         Invariant::OneDispatch.check(old.is_none());
         Some(address)
@@ -214,7 +229,7 @@
             server.work += work;
         }
         let Placed { ticket, owner, server } = placed;
-        let run = Running { owner, server, since: now, work, ticket };
+        let run = Running { owner, server, since: now, address: None, work, ticket };
         self.running.insert(run.ticket.request, run);
     }
 
@@ -262,11 +277,9 @@
             .map(|r| r.ticket.request)
     }
 
-    /// The server that a granted request was given.
-    pub(crate) fn placement(&self, request: RequestId) -> Option<(ServerId, SocketAddr)> {
-        let run = self.running.get(&request)?;
-        let server = self.servers.get(&run.server)?;
-        Some((run.server.clone(), server.info.address))
+    /// A granted request. Its server may have lapsed since.
+    pub(crate) fn get(&self, request: RequestId) -> Option<&Running> {
+        self.running.get(&request)
     }
 
     /// Requests that this entry VM owns.
