--- a/crates/broker/tests/properties.rs
+++ b/crates/broker/tests/properties.rs
@@ -106,9 +106,9 @@
 }
 
 impl Rules {
-    fn take(&mut self, step: Step) -> Vec<Action> {
+    fn take(&mut self, step: &Step) -> Vec<Action> {
         let mut out = Vec::new();
-        match step {
+        match *step {
             Step::Announce { server, ttl_ms } => {
                 let info = announcement(server, ttl_ms);
                 self.lapses.insert(info.id.clone(), self.now + info.ttl);
@@ -271,7 +271,7 @@
     }
 
     fn apply(mut rules: Rules, _: &Walk, step: Step) -> Rules {
-        let actions = rules.take(step);
+        let actions = rules.take(&step);
         let mut seen = BTreeSet::new();
         let ended = actions.iter().filter(|a| !matches!(a, Action::Grant { .. }));
         for action in ended {
--- a/crates/entry/src/admin.rs
+++ b/crates/entry/src/admin.rs
@@ -139,7 +139,7 @@
     let text = App::borrow_from(&state).config.meters.text();
     let response = match text {
         Ok(text) => {
-            let mut response = Response::new(body::full(text));
+            let mut response = body::handled(body::full(text));
             let kind = HeaderValue::from_static("text/plain; version=0.0.4");
             response.headers_mut().insert(header::CONTENT_TYPE, kind);
             response
@@ -191,12 +191,10 @@
 }
 
 fn json_response(status: StatusCode, value: &Value) -> Response<Body> {
-    let mut response = Response::new(body::full(value.to_string()));
+    let mut response = body::handled(body::full(value.to_string()));
     *response.status_mut() = status;
     let kind = HeaderValue::from_static("application/json");
     response.headers_mut().insert(header::CONTENT_TYPE, kind);
-    // Marks the answer as a handler's own, so that a 404 of it is not taken for a wrong path.
-    response.headers_mut().insert(headers::REQUEST_ID, HeaderValue::from_static("admin"));
     response
 }
 
--- a/crates/entry/src/body.rs
+++ b/crates/entry/src/body.rs
@@ -5,6 +5,7 @@
 use bytes::{Bytes, BytesMut};
 use futures_util::Stream;
 use gotham::helpers::http::Body;
+use http::Response;
 use http_body_util::{BodyExt, Full, StreamBody, combinators::UnsyncBoxBody};
 use hyper::body::Frame;
 
@@ -17,6 +18,17 @@
     Incomplete,
 }
 
+/// Marks an answer that a handler gave, so that a 404 of it is not taken for a wrong path.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Handled;
+
+/// An answer that a handler gives.
+pub(crate) fn handled(content: Body) -> Response<Body> {
+    let mut response = Response::new(content);
+    response.extensions_mut().insert(Handled);
+    response
+}
+
 /// A body of known content.
 pub(crate) fn full(content: impl Into<Bytes>) -> Body {
     UnsyncBoxBody::new(Full::new(content.into()).map_err(|never| match never {}))
--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -79,7 +79,7 @@
 }
 
 pub(crate) fn text(status: StatusCode, content: &'static str) -> Response<Body> {
-    let mut response = Response::new(body::full(content));
+    let mut response = body::handled(body::full(content));
     *response.status_mut() = status;
     response
 }
--- a/crates/entry/src/chat.rs
+++ b/crates/entry/src/chat.rs
@@ -63,7 +63,7 @@
 
 /// The head of an answer.
 pub(crate) fn head(case: &Case, running: &Running, content: Body) -> Response<Body> {
-    let mut response = Response::new(content);
+    let mut response = body::handled(content);
     *response.status_mut() = running.exchange.status();
     for (name, value) in running.exchange.headers() {
         if !crate::headers::is_hop(name) {
--- a/crates/entry/src/fail.rs
+++ b/crates/entry/src/fail.rs
@@ -5,7 +5,10 @@
 use model::{RefusalReason, RequestId, Span, Verdict};
 use serde::{Deserialize, Serialize};
 
-use crate::{body::full, headers::REQUEST_ID};
+use crate::{
+    body::{full, handled},
+    headers::REQUEST_ID,
+};
 
 /// A failed answer.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -54,7 +57,7 @@
 
     /// The failure as an answer.
     pub(crate) fn response(&self, status: StatusCode) -> Response<Body> {
-        let mut response = Response::new(full(self.json()));
+        let mut response = handled(full(self.json()));
         *response.status_mut() = status;
         let headers = response.headers_mut();
         headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
--- a/crates/entry/src/listen.rs
+++ b/crates/entry/src/listen.rs
@@ -17,6 +17,7 @@
 
 use crate::{
     app::App,
+    body::Handled,
     case::{Case, Failing},
 };
 
@@ -120,9 +121,9 @@
     })
 }
 
-/// Whether the router itself answered: its answers have no content type.
+/// Whether the router itself answered, because no route fits.
 fn is_no_route(response: &Response<Body>) -> bool {
     let status = response.status();
     let unrouted = status == StatusCode::NOT_FOUND || status == StatusCode::METHOD_NOT_ALLOWED;
-    unrouted && !response.headers().contains_key(crate::headers::REQUEST_ID)
+    unrouted && response.extensions().get::<Handled>().is_none()
 }
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -91,7 +91,7 @@
 
 /// Gives the first answer of a key again.
 fn replay(mut case: Case, answer: Answer) -> Response<Body> {
-    let mut response = Response::new(body::full(answer.body.unwrap_or_default()));
+    let mut response = body::handled(body::full(answer.body.unwrap_or_default()));
     *response.status_mut() = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::OK);
     let headers = response.headers_mut();
     headers.insert(REPLAYED, HeaderValue::from_static("true"));
--- a/crates/fuchsiausher/src/bed.rs
+++ b/crates/fuchsiausher/src/bed.rs
@@ -57,6 +57,8 @@
     /// Addresses at which each VM reaches each other one instead of the real ones, as
     /// `(from, to, address)`; for links that a test cuts.
     pub detours: Vec<(usize, usize, SocketAddr)>,
+    /// Longest wait for the head of a backend server's answer.
+    pub head: Duration,
 }
 
 /// A catalogue entry for a test account whose credential is its name.
@@ -107,6 +109,7 @@
                 .map(|t| account_entry(&format!("tier-{t}"), t, &["loom-model", "order-desk"]))
                 .collect(),
             detours: Vec::new(),
+            head: Duration::from_secs(20),
         }
     }
 
@@ -372,7 +375,7 @@
         waits: Waits {
             header: Duration::from_secs(5),
             connect: Duration::from_millis(500),
-            head: Duration::from_secs(20),
+            head: config.head,
             idle: Duration::from_secs(10),
             deadline: Duration::from_secs(10),
             stop: Duration::from_mins(1),
--- /dev/null
+++ b/crates/fuchsiausher/tests/operations.rs
@@ -0,0 +1,186 @@
+//! Leaving servers, planned stops and floods, under load.
+
+use std::{
+    io::{BufRead, BufReader},
+    process::{Command, Stdio},
+    sync::Arc,
+    time::Duration,
+};
+
+use fuchsiausher::{
+    Balancer, Bed, BedConfig, Shot, ShotKind, account_entry, chat_body, check_promises, fire,
+};
+use serde_json::json;
+use stand::{Answered, CallError, Config, Pace, Role, Server, call};
+
+/// Time after which a leaving server gets no new work.
+const LEAVE_GRACE: Duration = Duration::from_secs(3);
+
+fn chat_shots(length: Duration, rate: u32, tiers: u8) -> Vec<Shot> {
+    let mut shots = Vec::new();
+    let mut at = Duration::ZERO;
+    let mut n = 0_u32;
+    while at < length {
+        let tier = u8::try_from(n % u32::from(tiers)).unwrap();
+        let prompt = if n.is_multiple_of(19) { 1_500 } else { 15 + (n as usize * 31) % 100 };
+        shots.push(Shot {
+            at,
+            account: format!("tier-{tier}"),
+            tier,
+            deadline: Duration::from_secs(2),
+            kind: ShotKind::Chat { model: "loom-model".into(), prefix: None, prompt, tokens: 15 },
+        });
+        n += 1;
+        at += Duration::from_secs(1) / rate;
+    }
+    shots
+}
+
+async fn assert_promises(bed: &Bed, hits: &[fuchsiausher::Hit]) {
+    let promises = check_promises(bed, 0, hits, 0).await.unwrap();
+    for promise in promises {
+        assert_eq!(promise.broken, 0, "{}: {:?}", promise.what, promise.examples);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn leaving_server_gets_no_new_work_and_loses_nothing_in_flight() {
+    let mut config = BedConfig::small();
+    config.groups[0].count = 3;
+    config.groups[0].pace = Pace { prefill_us: 20, decode_us: 10_000 };
+    let bed = Bed::start(config).await.unwrap();
+    let balancer = Arc::new(Balancer::new(&bed));
+    let load = tokio::spawn(fire(balancer, chat_shots(Duration::from_secs(6), 40, 1)));
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let duty = json!({ "duty": "maintenance" });
+    bed.admin(0).post("/servers/loom-model-1/duty", &duty).await.unwrap();
+    tokio::time::sleep(LEAVE_GRACE).await;
+    let before = bed.servers[0].stats().totals();
+    let hits = load.await.unwrap();
+    let after = bed.servers[0].stats().totals();
+    assert!(before.received > 0, "it was in use before");
+    assert_eq!(after.received, before.received, "it got no new work");
+    assert_eq!(after.finished, after.received, "nothing in flight was cut off");
+    assert_promises(&bed, &hits).await;
+    bed.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn flood_at_ten_times_capacity_serves_the_highest_tiers() {
+    let mut config = BedConfig::small();
+    config.groups[0].count = 2;
+    config.groups[0].slots = 2;
+    config.groups[0].pace = Pace { prefill_us: 20, decode_us: 10_000 };
+    let bed = Bed::start(config).await.unwrap();
+    let balancer = Arc::new(Balancer::new(&bed));
+    // Four slots at about 150 ms each carry about 25 requests a second.
+    let hits = fire(balancer, chat_shots(Duration::from_secs(6), 250, 5)).await;
+    assert_promises(&bed, &hits).await;
+    let good = |tier| hits.iter().filter(|h| h.shot.tier == tier && h.whole).count();
+    let counts: Vec<usize> = (0..5).map(good).collect();
+    assert!(counts[0] > 0, "the highest tier is served: {counts:?}");
+    // A tier below the highest has less than its share of the requests that were served.
+    assert!(counts[1..].iter().sum::<usize>() < counts[0], "{counts:?}");
+    bed.stop().await;
+}
+
+/// An entry VM as a process of its own.
+struct Process {
+    child: std::process::Child,
+    folder: std::path::PathBuf,
+    callers: std::net::SocketAddr,
+    admin: std::net::SocketAddr,
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // Ends a process that a failed assertion left running.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+fn free() -> std::net::SocketAddr {
+    std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
+
+fn spawn_process() -> Process {
+    let folder = std::env::temp_dir().join(format!("fuchsiausher-stop-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let (callers, admin, listen) = (free(), free(), free());
+    let settings = format!(
+        "vm = \"vm-1\"\nzone = \"zone-a\"\ncallers = \"{callers}\"\nadmin = \"{admin}\"\n\
+         peers_listen = \"{listen}\"\ndata = {:?}\nfounders = [\"vm-1\"]\n\
+         [secrets]\ncluster = \"a key that is long enough\"\nadmin = \"a\"\nannounce = \"b\"\n",
+        folder.join("data")
+    );
+    let path = folder.join("settings.toml");
+    std::fs::write(&path, settings).unwrap();
+    let child = Command::new(env!("CARGO_BIN_EXE_fuchsiausher"))
+        .arg("run")
+        .arg(&path)
+        .stdout(Stdio::null())
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    Process { child, folder, callers, admin }
+}
+
+async fn until_ready(process: &Process) {
+    for _ in 0..400 {
+        let answer = call(process.callers, "GET", "/health/ready", &[], vec![]).await;
+        if answer.is_ok_and(|a| a.status == 200) {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    panic!("the process did not become ready");
+}
+
+async fn long_answer(callers: std::net::SocketAddr) -> Result<Answered, CallError> {
+    let headers = [("authorization", "Bearer tier-0".to_owned())];
+    let body = chat_body("loom-model", 20, 40, true);
+    call(callers, "POST", "/v1/chat/completions", &headers, body).await
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn sigterm_under_load_cuts_nothing_off_and_exits_with_0() {
+    let mut process = spawn_process();
+    until_ready(&process).await;
+    let admin = fuchsiausher::AdminClient::new(process.admin, "a");
+    let entry = account_entry("tier-0", 0, &["loom-model"]);
+    let edit = json!({ "id": "e1", "base": 0, "put": [entry] });
+    admin.post("/catalogue/edits", &edit).await.unwrap();
+    let config = Config {
+        id: "engine-1".into(),
+        service: "loom-model".into(),
+        role: Role::Engine,
+        slots: 64,
+        pace: Pace { prefill_us: 20, decode_us: 400_000 },
+        cache: 4,
+        zone: "zone-a".into(),
+    };
+    let mut server = Server::start(config).await.unwrap();
+    server.announce(stand::Announcer { admins: vec![process.admin], secret: "b".into() });
+    let callers = process.callers;
+    while long_answer(callers).await.is_ok_and(|a| a.status != 200) {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    // Answers take about four seconds; the stop comes while all of them are being given.
+    let in_flight: Vec<_> = (0..20).map(|_| tokio::spawn(long_answer(callers))).collect();
+    while server.stats().running() < 20 {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    let killed = Command::new("kill").arg("-TERM").arg(process.child.id().to_string()).status();
+    assert!(killed.unwrap().success());
+    for call in in_flight {
+        let answer = call.await.unwrap().expect("the answer arrives whole");
+        assert_eq!(answer.status, 200);
+        assert!(answer.body.ends_with(b"data: [DONE]\n\n"));
+    }
+    let status = process.child.wait().unwrap();
+    let errors = BufReader::new(process.child.stderr.take().unwrap()).lines();
+    let errors: Vec<String> = errors.map_while(Result::ok).collect();
+    assert_eq!(status.code(), Some(0), "{errors:?}");
+}
--- a/crates/raft/src/election.rs
+++ b/crates/raft/src/election.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     message::Message,
-    raft::{Raft, Role, majority},
+    raft::{Raft, Role},
     types::{Index, LogEntry, Member, Payload, Term},
 };
 
@@ -54,7 +54,7 @@
 
     fn count_pre_votes(&mut self) {
         if let Role::PreCandidate { votes } = &self.role
-            && votes.len() >= majority(self.voters.len())
+            && self.is_majority(votes)
         {
             self.elect(false);
         }
@@ -120,7 +120,7 @@
 
     fn count_votes(&mut self) {
         if let Role::Candidate { votes } = &self.role
-            && votes.len() >= majority(self.voters.len())
+            && self.is_majority(votes)
         {
             self.become_leader();
         }
--- a/crates/raft/src/raft.rs
+++ b/crates/raft/src/raft.rs
@@ -131,7 +131,7 @@
         self.now = self.now.max(now);
         if matches!(self.role, Role::Leader { .. }) {
             self.lead();
-        } else if self.now >= self.election_at && self.is_voter() {
+        } else if self.now >= self.election_at && self.may_campaign() {
             self.campaign();
         }
     }
@@ -288,6 +288,8 @@
         let (_, voters) = self.journal.voters_at(index);
         let snapshot = Snapshot { index, term, voters, data: Arc::new(data) };
         self.journal.install(snapshot.clone());
+        self.pending.entries.retain(|e| e.index > index);
+        self.pending.truncate = self.pending.truncate.map(|t| t.max(index + 1));
         self.pending.snapshot = Some(snapshot);
     }
 
@@ -416,6 +418,20 @@
         self.voters.contains(&self.config.me)
     }
 
+    /// Whether this member may become leader: as a voter, or as one whose removal is not known to
+    /// be committed. The latter may be the only one whose log is recent enough to be elected.
+    fn may_campaign(&self) -> bool {
+        let me = &self.config.me;
+        let unsure = self.voters_index > self.commit;
+        self.voters.contains(me)
+            || (unsure && self.journal.voters_at(self.voters_index - 1).1.contains(me))
+    }
+
+    /// Whether these votes are a majority of the voters.
+    pub(crate) fn is_majority(&self, votes: &BTreeSet<Member>) -> bool {
+        votes.intersection(&self.voters).count() >= majority(self.voters.len())
+    }
+
     pub(crate) fn send(&mut self, to: Member, term: Term, message: Message) {
         let from = self.config.me.clone();
         self.outbox.push(Envelope { cluster: self.cluster, from, to, term, message });
@@ -444,15 +460,12 @@
         self.commit = self.commit.max(snapshot.index);
         self.applied = snapshot.index;
         self.persisted = self.persisted.min(snapshot.index);
-        self.pending.entries.clear();
-        self.pending.truncate = None;
-        self.pending.snapshot = Some(snapshot.clone());
         self.journal.install(snapshot.clone());
-        if self.journal.last_index() > snapshot.index {
-            // Entries that continue the snapshot are still on disk; writing them again is safe.
-            self.pending.entries = self.journal.from(snapshot.index + 1, usize::MAX);
-            self.pending.truncate = Some(snapshot.index + 1);
-        }
+        // What the disk holds after the snapshot may be of another leader, so it is replaced by
+        // the entries that continue the snapshot, if there are any.
+        self.pending.truncate = Some(snapshot.index + 1);
+        self.pending.entries = self.journal.from(snapshot.index + 1, usize::MAX);
+        self.pending.snapshot = Some(snapshot.clone());
         self.restored = Some(snapshot);
         self.refresh_voters();
     }
--- a/crates/raft/src/ready.rs
+++ b/crates/raft/src/ready.rs
@@ -10,7 +10,7 @@
 pub struct Persist {
     /// New term or vote.
     pub hard: Option<HardState>,
-    /// New snapshot: replaces the old one and all entries up to its index.
+    /// New snapshot: replaces the old one and all entries up to its index. Entries after it stay.
     pub snapshot: Option<Snapshot>,
     /// Remove all entries from this index on, before appending.
     pub truncate: Option<Index>,
--- a/crates/store/src/journal.rs
+++ b/crates/store/src/journal.rs
@@ -169,13 +169,6 @@
 ) -> std::result::Result<(), redb::StorageError> {
     if let Some(snapshot) = &batch.snapshot {
         table.retain_in(..=snapshot.index, |_, _| false)?;
-        let continues = match table.get(snapshot.index + 1)? {
-            Some(record) => unseal::<LogEntry>(record.value()).is_some(),
-            None => false,
-        };
-        if !continues {
-            table.retain(|_, _| false)?;
-        }
     }
     if let Some(index) = batch.truncate {
         table.retain_in(index.., |_, _| false)?;
