--- a/crates/control/src/declare.rs
+++ b/crates/control/src/declare.rs
@@ -2,7 +2,8 @@
 
 use std::collections::BTreeSet;
 
-use model::{Duty, Mark, ServerId, VmName, ZoneName};
+use model::{Duty, Mark, ServerId, Span, VmName, ZoneName};
+use state::Command;
 
 use crate::{
     event::{Answer, Change, Output},
@@ -10,6 +11,11 @@
     wire::Message,
 };
 
+/// Interval at which declarations are proposed that the replicated state does not keep.
+const KEEP_INTERVAL: Span = Span::from_millis(100);
+/// Number of proposals that nobody waits for; real ones count from 1.
+const UNASKED: u64 = 0;
+
 impl Machine {
     pub(crate) fn on_mark(&mut self, call: u64, server: &ServerId, duty: Duty, force: bool) {
         let known = self.marks.get(server).and_then(|m| m.zone.clone());
@@ -33,15 +39,14 @@
         let me = self.members.me.clone();
         let missing: BTreeSet<VmName> =
             live.into_iter().filter(|vm| *vm != me).chain(dead).collect();
-        self.marks.wait(self.clock.now, token, call, mark.clone(), [me].into(), missing);
+        let known = (server.clone(), mark.clone());
+        self.marks.wait(self.clock.now, (token, call), known, [me].into(), missing);
         let others: Vec<VmName> = self.members.live().map(|(vm, _)| vm.clone()).collect();
         for vm in others {
             let marks = vec![(server.clone(), mark.clone())];
             self.send(vm, Message::Marks { token: Some(token), marks });
         }
-        for (call, answer) in self.marks.answers(self.clock.now) {
-            self.out.push(Output::Reply { call, answer });
-        }
+        self.tick_marks();
     }
 
     /// VMs that may grant a server: those of its zone, or all if the zone is not known.
@@ -77,4 +82,31 @@
             self.beat();
         }
     }
+
+    /// Answers operators, and as leader keeps declarations in the replicated state.
+    pub(crate) fn tick_marks(&mut self) {
+        let now = self.clock.now;
+        let in_quorum = self.shared.in_quorum(now);
+        let kept = self.shared.state().marks().clone();
+        for (call, answer) in self.marks.answers(now, &kept, in_quorum) {
+            self.out.push(Output::Reply { call, answer });
+        }
+        if self.shared.leads() && now >= self.keep_at {
+            self.keep_at = now + KEEP_INTERVAL;
+            for (server, mark) in self.marks.unkept(&kept) {
+                let me = self.members.me.clone();
+                self.append(me, self.incarnation, UNASKED, Command::Mark { server, mark });
+            }
+        }
+    }
+
+    /// Takes declarations that the replicated state keeps.
+    pub(crate) fn take_kept_marks(&mut self) {
+        let kept = self.shared.state().marks();
+        let newer = kept.iter().filter(|(s, m)| self.marks.get(s).is_none_or(|own| own < *m));
+        let newer: Vec<_> = newer.map(|(s, m)| (s.clone(), m.clone())).collect();
+        for (server, mark) in newer {
+            self.take_mark(server, mark);
+        }
+    }
 }
--- a/crates/control/src/event.rs
+++ b/crates/control/src/event.rs
@@ -226,6 +226,8 @@
         held: Vec<VmName>,
         /// VMs that could not be told.
         missing: Vec<VmName>,
+        /// Whether it is kept in the replicated state, so that it survives restarts.
+        kept: bool,
     },
     /// A refused administrative call.
     Refused {
--- a/crates/control/src/machine.rs
+++ b/crates/control/src/machine.rs
@@ -45,6 +45,7 @@
     pub(crate) published: Option<(u64, bool, Contact)>,
     pub(crate) leader: Option<VmName>,
     pub(crate) beat_at: Time,
+    pub(crate) keep_at: Time,
     pub(crate) view: u64,
     pub(crate) tokens: u64,
     pub(crate) out: Vec<Output>,
@@ -55,12 +56,16 @@
     /// A machine that starts.
     #[must_use]
     pub fn new(setup: &Setup) -> Self {
+        let mut marks = Marks::default();
+        for (server, mark) in Shared::stored_marks(setup) {
+            marks.merge(server, mark);
+        }
         Self {
             clock: Clock::default(),
             started: None,
             incarnation: setup.incarnation,
             members: Members::new(setup),
-            marks: Marks::default(),
+            marks,
             brokers: Brokers::default(),
             requests: Requests::default(),
             ended: Ended::default(),
@@ -72,6 +77,7 @@
             published: None,
             leader: None,
             beat_at: Time::default(),
+            keep_at: Time::default(),
             view: 0,
             tokens: 0,
             out: Vec::new(),
@@ -243,9 +249,7 @@
         self.brokers.tick(now, &mut actions);
         self.act(actions);
         self.homes.tick(now);
-        for (call, answer) in self.marks.answers(now) {
-            self.out.push(Output::Reply { call, answer });
-        }
+        self.tick_marks();
         self.tick_proposals();
     }
 
--- a/crates/control/src/marks.rs
+++ b/crates/control/src/marks.rs
@@ -19,6 +19,7 @@
     mark: Mark,
     held: BTreeSet<VmName>,
     missing: BTreeSet<VmName>,
+    server: ServerId,
     until: Time,
 }
 
@@ -67,14 +68,13 @@
     pub(crate) fn wait(
         &mut self,
         now: Time,
-        token: u64,
-        call: u64,
-        mark: Mark,
+        (token, call): (u64, u64),
+        (server, mark): (ServerId, Mark),
         held: BTreeSet<VmName>,
         missing: BTreeSet<VmName>,
     ) {
         let until = now + CONFIRM_TIMEOUT;
-        self.waiting.insert(token, Waiting { call, mark, held, missing, until });
+        self.waiting.insert(token, Waiting { call, mark, held, missing, server, until });
     }
 
     pub(crate) fn confirm(&mut self, token: u64, vm: &VmName) {
@@ -85,14 +85,30 @@
         }
     }
 
-    /// Answers of declarations that are held everywhere or waited too long.
-    pub(crate) fn answers(&mut self, now: Time) -> Vec<(u64, Answer)> {
-        let done = self.waiting.extract_if(.., |_, w| w.missing.is_empty() || now >= w.until);
+    /// Declarations that are newer than those kept in the replicated state.
+    pub(crate) fn unkept(&self, kept: &BTreeMap<ServerId, Mark>) -> Vec<(ServerId, Mark)> {
+        let newer = self.by_server.iter().filter(|(s, m)| kept.get(*s).is_none_or(|k| k < *m));
+        newer.map(|(s, m)| (s.clone(), m.clone())).collect()
+    }
+
+    /// Answers of declarations that are held by all and kept in the replicated state, or waited
+    /// too long for either.
+    pub(crate) fn answers(
+        &mut self,
+        now: Time,
+        kept: &BTreeMap<ServerId, Mark>,
+        in_quorum: bool,
+    ) -> Vec<(u64, Answer)> {
+        let is_kept = |w: &Waiting| kept.get(&w.server).is_some_and(|k| *k >= w.mark);
+        let is_done =
+            |w: &Waiting| now >= w.until || (w.missing.is_empty() && (is_kept(w) || !in_quorum));
+        let done: Vec<_> = self.waiting.extract_if(.., |_, w| is_done(w)).collect();
         let answer = |(_, w): (u64, Waiting)| {
+            let kept = is_kept(&w);
             let held = w.held.into_iter().collect();
             let missing = w.missing.into_iter().collect();
-            (w.call, Answer::Marked { mark: w.mark, held, missing })
+            (w.call, Answer::Marked { mark: w.mark, held, missing, kept })
         };
-        done.map(answer).collect()
+        done.into_iter().map(answer).collect()
     }
 }
--- a/crates/control/src/replicate.rs
+++ b/crates/control/src/replicate.rs
@@ -155,6 +155,7 @@
                 self.out.push(Output::Reply { call, answer });
             }
         }
+        self.take_kept_marks();
         let revision = self.shared.state().catalogue().revision();
         Invariant::RevisionOrder.check(revision >= before);
         if revision != before {
--- a/crates/control/src/shared.rs
+++ b/crates/control/src/shared.rs
@@ -2,7 +2,7 @@
 
 use std::collections::VecDeque;
 
-use model::{Span, Time, VmName};
+use model::{Mark, ServerId, Span, Time, VmName};
 use raft::{Config, Envelope, Index, Member, Payload, Raft, Ready, Stored, Voters};
 use serde::{Deserialize, Serialize};
 use state::{Command, Response, State};
@@ -111,6 +111,23 @@
         self.me.disk ^ self.seed.rotate_left(32) | 1
     }
 
+    /// Declarations in entries that a restart found on disk, whether or not they are known to be
+    /// committed. A declaration that is merely on its way is worth following: it was made by an
+    /// operator, and forgetting one that was accepted would give a leaving server new work.
+    pub(crate) fn stored_marks(setup: &Setup) -> Vec<(ServerId, Mark)> {
+        let mut marks = Vec::new();
+        for entry in setup.stored.iter().flat_map(|s| &s.entries) {
+            let Payload::Command(bytes) = &entry.payload else {
+                continue;
+            };
+            let proposal: Result<Proposal, _> = rmp_serde::from_slice(bytes);
+            if let Ok(Proposal { command: Command::Mark { server, mark }, .. }) = proposal {
+                marks.push((server, mark));
+            }
+        }
+        marks
+    }
+
     pub(crate) fn raft(&self) -> Option<&Raft> {
         self.raft.as_ref()
     }
--- a/crates/entry/src/admin.rs
+++ b/crates/entry/src/admin.rs
@@ -288,8 +288,9 @@
     let RawDuty { duty, force } = raw;
     let answer = app.config.handle.call(|call| Input::Mark { call, server, duty, force }).await;
     match answer {
-        Answer::Marked { mark, held, missing } => {
-            let value = json!({ "duty": mark.duty, "held": held, "missing": missing });
+        Answer::Marked { mark, held, missing, kept } => {
+            let value =
+                json!({ "duty": mark.duty, "held": held, "missing": missing, "kept": kept });
             let status = if missing.is_empty() { StatusCode::OK } else { StatusCode::ACCEPTED };
             Ok(json_response(status, &value))
         }
--- a/crates/fuchsiausher/tests/faults.rs
+++ b/crates/fuchsiausher/tests/faults.rs
@@ -50,6 +50,9 @@
     found["refusals"].as_array().unwrap().clone()
 }
 
+/// Method, path, headers, body, and the status and reason of the answer.
+type Case = (&'static str, &'static str, Vec<(&'static str, String)>, Vec<u8>, u16, &'static str);
+
 async fn eventually(what: &str, mut holds: impl AsyncFnMut() -> bool) {
     let wait = async {
         while !holds().await {
@@ -185,7 +188,7 @@
     let stranger = ("authorization", "Bearer nobody".to_owned());
     let tier = ("x-tier", "9".to_owned());
     let deadline = ("x-deadline-ms", "soon".to_owned());
-    let cases: Vec<(&str, &str, Vec<(&str, String)>, Vec<u8>, u16, &str)> = vec![
+    let cases: Vec<Case> = vec![
         ("GET", "/nowhere", vec![], vec![], 404, "bad_route"),
         ("GET", chat, vec![bearer.clone()], vec![], 405, "bad_route"),
         ("POST", chat, vec![bearer.clone()], b"{".to_vec(), 400, "bad_request"),
--- a/crates/fuchsiausher/tests/operations.rs
+++ b/crates/fuchsiausher/tests/operations.rs
@@ -111,9 +111,9 @@
     let (callers, admin, listen) = (free(), free(), free());
     let settings = format!(
         "vm = \"vm-1\"\nzone = \"zone-a\"\ncallers = \"{callers}\"\nadmin = \"{admin}\"\n\
-         peers_listen = \"{listen}\"\ndata = {:?}\nfounders = [\"vm-1\"]\n\
+         peers_listen = \"{listen}\"\ndata = \"{}\"\nfounders = [\"vm-1\"]\n\
          [secrets]\ncluster = \"a key that is long enough\"\nadmin = \"a\"\nannounce = \"b\"\n",
-        folder.join("data")
+        folder.join("data").display()
     );
     let path = folder.join("settings.toml");
     std::fs::write(&path, settings).unwrap();
--- /dev/null
+++ b/crates/peer/tests/strangers.rs
@@ -0,0 +1,118 @@
+//! Calls between VMs: who is heard, and what is refused.
+
+use std::{
+    future::Future,
+    net::SocketAddr,
+    pin::Pin,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use control::Message;
+use meters::Meters;
+use model::{RequestId, VmName};
+use peer::{Key, Links, PeerAddress, Question, Reply, Respond, serve};
+
+const TIMEOUT: Duration = Duration::from_secs(5);
+
+#[derive(Default)]
+struct Heard(Mutex<Vec<(VmName, Message)>>);
+
+impl Respond for Heard {
+    fn respond<'a>(
+        &'a self,
+        from: &'a VmName,
+        _: Question,
+    ) -> Pin<Box<dyn Future<Output = Reply> + Send + 'a>> {
+        Box::pin(async move { Reply::Found(Some(from.to_string())) })
+    }
+
+    fn deliver(&self, from: VmName, message: Message) {
+        self.0.lock().unwrap().push((from, message));
+    }
+}
+
+fn vm(name: &str) -> VmName {
+    VmName::try_from(name).unwrap()
+}
+
+fn meters() -> Arc<Meters> {
+    Arc::new(Meters::new("test").unwrap())
+}
+
+fn key(text: &str) -> Key {
+    Key::try_from(text).unwrap()
+}
+
+async fn listen(heard: &Arc<Heard>, meters: &Arc<Meters>) -> SocketAddr {
+    let address = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let known = [vm("a")].into();
+    let stop = std::future::pending();
+    let key = key("the right shared key");
+    serve(address, vm("b"), known, key, heard.clone(), meters.clone(), stop).await.unwrap();
+    address
+}
+
+fn links(me: &str, to: &str, address: SocketAddr, secret: &str) -> Links {
+    let peers = [PeerAddress { vm: vm(to), address }];
+    Links::new(vm(me), 1, key(secret), &peers, meters()).unwrap()
+}
+
+fn question() -> Question {
+    Question::Find { request: RequestId::from(1) }
+}
+
+#[tokio::test]
+async fn known_vm_is_answered_and_its_messages_arrive_in_order() {
+    let heard = Arc::new(Heard::default());
+    let address = listen(&heard, &meters()).await;
+    let links = links("a", "b", address, "the right shared key");
+    let reply = links.ask(&vm("b"), &question(), TIMEOUT).await.unwrap();
+    assert_eq!(reply, Reply::Found(Some("a".into())));
+    for token in 0..100 {
+        links.send(&vm("b"), Message::ReadIndex { token });
+    }
+    let wait = async {
+        while heard.0.lock().unwrap().len() < 100 {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    tokio::time::timeout(TIMEOUT, wait).await.unwrap();
+    let heard = heard.0.lock().unwrap();
+    for (token, (from, message)) in (0..).zip(heard.iter()) {
+        assert_eq!((from, message), (&vm("a"), &Message::ReadIndex { token }));
+    }
+}
+
+#[tokio::test]
+async fn strangers_are_refused_and_counted() {
+    let cases = [
+        ("a", "b", "a wrong shared key"),
+        ("c", "b", "the right shared key"),
+        ("a", "z", "the right shared key"),
+    ];
+    for (me, to, secret) in cases {
+        let (heard, meters) = (Arc::new(Heard::default()), meters());
+        let address = listen(&heard, &meters).await;
+        let links = links(me, to, address, secret);
+        let asked = links.ask(&vm(to), &question(), TIMEOUT).await;
+        assert!(asked.is_err(), "{me} to {to} with {secret:?}");
+        links.send(&vm(to), Message::ReadIndex { token: 1 });
+        // A second question is answered after the message was refused.
+        assert!(links.ask(&vm(to), &question(), TIMEOUT).await.is_err());
+        assert!(heard.0.lock().unwrap().is_empty());
+        let text = meters.text().unwrap();
+        let counted = text.lines().find(|l| l.contains("stranger_refused")).unwrap();
+        assert!(!counted.ends_with(" 0"), "{counted}");
+    }
+}
+
+#[tokio::test]
+async fn vm_that_cannot_prove_its_identity_is_not_believed() {
+    // A listener with another key refuses the call; one that would answer anyway cannot make the
+    // answer's MAC, because that needs the same key.
+    let heard = Arc::new(Heard::default());
+    let address = listen(&heard, &meters()).await;
+    let links = links("a", "b", address, "not the shared key");
+    assert!(links.ask(&vm("b"), &question(), TIMEOUT).await.is_err());
+}
--- a/crates/raft/tests/random.rs
+++ b/crates/raft/tests/random.rs
@@ -114,7 +114,8 @@
             next_disk: 2,
             next_command: 0,
             faults: true,
-            profile: [Profile::Splits, Profile::Crashes, Profile::Repairs][seed as usize % 3],
+            profile: [Profile::Splits, Profile::Crashes, Profile::Repairs]
+                [usize::try_from(seed % 3).unwrap()],
         };
         for at in 0..VMS {
             world.start(at);
@@ -427,14 +428,14 @@
         if let Some(snapshot) = raft.take_restored() {
             vm.applied = snapshot.index;
             assert!(
-                snapshot.index as usize <= self.committed.len(),
+                snapshot.index <= self.committed.len() as u64,
                 "snapshots hold what is committed"
             );
         }
         for entry in raft.take_committed() {
             assert_eq!(entry.index, vm.applied + 1, "entries are applied in order");
             vm.applied = entry.index;
-            let position = entry.index as usize - 1;
+            let position = usize::try_from(entry.index - 1).unwrap();
             if let Some(known) = self.committed.get(position) {
                 assert_eq!(*known, entry, "all members commit the same entries");
             } else {
--- a/crates/state/src/command.rs
+++ b/crates/state/src/command.rs
@@ -1,6 +1,6 @@
 //! Commands and their responses.
 
-use model::{Edit, EditOutcome, RequestId, ServerId, VmName};
+use model::{Edit, EditOutcome, Mark, RequestId, ServerId, VmName};
 use serde::{Deserialize, Serialize};
 
 use crate::{
@@ -43,6 +43,13 @@
         /// How many.
         count: u64,
     },
+    /// Keep an operator's declaration about a backend server, unless a newer one is kept.
+    Mark {
+        /// The server.
+        server: ServerId,
+        /// The declaration.
+        mark: Mark,
+    },
     /// Set what a backend server shall run.
     Place {
         /// The server.
--- a/crates/state/src/machine.rs
+++ b/crates/state/src/machine.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, sync::Arc};
 
-use model::{Catalogue, Edit, EditOutcome, Entry, Error, ServerId};
+use model::{Catalogue, Edit, EditOutcome, Entry, Error, Mark, ServerId};
 use serde::{Deserialize, Serialize};
 
 use crate::{
@@ -25,6 +25,7 @@
     claims: Claims,
     /// Numbers reserved so far.
     fences: u64,
+    marks: BTreeMap<ServerId, Mark>,
     placements: BTreeMap<ServerId, Placement>,
 }
 
@@ -37,6 +38,7 @@
     edits: Edits,
     claims: Vec<u8>,
     fences: u64,
+    marks: BTreeMap<ServerId, Mark>,
     placements: BTreeMap<ServerId, Placement>,
 }
 
@@ -63,6 +65,13 @@
                 self.fences = start.saturating_add(count);
                 Response::Fence(start, self.fences)
             }
+            Command::Mark { server, mark } => {
+                let newer = self.marks.get(&server).is_none_or(|old| *old < mark);
+                if newer {
+                    self.marks.insert(server, mark);
+                }
+                Response::Done
+            }
             Command::Place { server, placement } => {
                 match placement {
                     Some(placement) => self.placements.insert(server, placement),
@@ -117,6 +126,12 @@
         self.claims.len()
     }
 
+    /// Operators' declarations about backend servers.
+    #[must_use]
+    pub fn marks(&self) -> &BTreeMap<ServerId, Mark> {
+        &self.marks
+    }
+
     /// What backend servers shall run.
     pub fn placements(&self) -> impl Iterator<Item = (&ServerId, &Placement)> {
         self.placements.iter()
@@ -136,6 +151,7 @@
             edits: self.edits.clone(),
             claims: rmp_serde::to_vec(&self.claims).expect("claims can be encoded"),
             fences: self.fences,
+            marks: self.marks.clone(),
             placements: self.placements.clone(),
         };
         rmp_serde::to_vec_named(&image).expect("the state can be encoded")
@@ -158,6 +174,7 @@
             edits: image.edits,
             claims,
             fences: image.fences,
+            marks: image.marks,
             placements: image.placements,
         })
     }
--- a/crates/store/src/journal.rs
+++ b/crates/store/src/journal.rs
@@ -4,7 +4,7 @@
 
 use error_stack::{Report, ResultExt};
 use raft::{HardState, LogEntry, Persist, Snapshot, Stored};
-use redb::{Database, ReadableDatabase, ReadableTable, TableDefinition};
+use redb::{Database, ReadableDatabase, TableDefinition};
 
 use crate::{
     error::{Error, ErrorKind},
--- /dev/null
+++ b/crates/store/tests/disk.rs
@@ -0,0 +1,199 @@
+//! What survives on disk, and what is refused.
+
+use std::path::PathBuf;
+
+use model::{AccountName, Refusal, RefusalKey, RefusalReason, RequestId, Verdict, VmName};
+use raft::{HardState, LogEntry, Member, Payload, Persist, Snapshot, Stored};
+use redb::{Database, ReadableTable, TableDefinition};
+use store::{Journal, Ledger, LedgerConfig, RefusalStore};
+
+struct Folder(PathBuf);
+
+impl Folder {
+    fn new(name: &str) -> Self {
+        let path = std::env::temp_dir().join(format!("store-{name}-{}", std::process::id()));
+        let _ = std::fs::remove_dir_all(&path);
+        Self(path)
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+fn member() -> Member {
+    Member { vm: VmName::try_from("vm-1").unwrap(), disk: 5 }
+}
+
+fn entry(term: u64, index: u64) -> LogEntry {
+    LogEntry { term, index, payload: Payload::Command(vec![7; 100]) }
+}
+
+fn founding() -> Persist {
+    let snapshot = Stored::founding(1, [member()].into()).snapshot;
+    Persist { snapshot: Some(snapshot), ..Persist::default() }
+}
+
+fn entries(range: std::ops::RangeInclusive<u64>) -> Persist {
+    Persist { entries: range.map(|i| entry(1, i)).collect(), ..Persist::default() }
+}
+
+#[test]
+fn everything_written_is_found_after_a_restart() {
+    let folder = Folder::new("restart");
+    let mut journal = Journal::open(&folder.0, || 5).unwrap();
+    let hard = HardState { term: 3, vote: Some(member()) };
+    let vote = Persist { hard: Some(hard.clone()), ..Persist::default() };
+    journal.write(1, &[founding(), entries(1..=20), vote]).unwrap();
+    let cut = Persist { truncate: Some(15), entries: vec![entry(3, 15)], ..Persist::default() };
+    journal.write(1, &[cut]).unwrap();
+    drop(journal);
+    let journal = Journal::open(&folder.0, || 99).unwrap();
+    assert_eq!(journal.disk(), 5, "the identity stays");
+    let stored = journal.load().unwrap().unwrap();
+    assert_eq!(stored.hard, hard);
+    assert_eq!(stored.entries.len(), 15);
+    assert_eq!(stored.entries[14], entry(3, 15));
+}
+
+#[test]
+fn snapshot_replaces_what_it_includes() {
+    let folder = Folder::new("snapshot");
+    let mut journal = Journal::open(&folder.0, || 5).unwrap();
+    journal.write(1, &[founding(), entries(1..=20)]).unwrap();
+    let voters = [member()].into();
+    let snapshot = Snapshot { index: 12, term: 1, voters, data: vec![1, 2].into() };
+    let compact = Persist { snapshot: Some(snapshot.clone()), ..Persist::default() };
+    journal.write(1, &[compact]).unwrap();
+    let stored = journal.load().unwrap().unwrap();
+    assert_eq!(stored.snapshot, snapshot);
+    assert_eq!(stored.entries.first().unwrap().index, 13);
+    assert_eq!(stored.entries.len(), 8);
+}
+
+#[test]
+fn empty_folder_is_a_new_identity() {
+    let folder = Folder::new("identity");
+    drop(Journal::open(&folder.0, || 5).unwrap());
+    std::fs::remove_dir_all(&folder.0).unwrap();
+    let journal = Journal::open(&folder.0, || 6).unwrap();
+    assert_eq!(journal.disk(), 6);
+    assert!(journal.load().unwrap().is_none());
+}
+
+#[test]
+fn corrupt_record_is_an_error_that_names_it() {
+    let folder = Folder::new("corrupt");
+    let mut journal = Journal::open(&folder.0, || 5).unwrap();
+    journal.write(1, &[founding(), entries(1..=3)]).unwrap();
+    drop(journal);
+    let db = Database::open(folder.0.join("log.redb")).unwrap();
+    let table: TableDefinition<'_, u64, &[u8]> = TableDefinition::new("entries");
+    let txn = db.begin_write().unwrap();
+    {
+        let mut table = txn.open_table(table).unwrap();
+        let mut record = table.get(2).unwrap().unwrap().value().to_vec();
+        record[20] ^= 1;
+        table.insert(2, record.as_slice()).unwrap();
+    }
+    txn.commit().unwrap();
+    drop(db);
+    let journal = Journal::open(&folder.0, || 5).unwrap();
+    let error = journal.load().unwrap_err().to_string();
+    assert_eq!(error, "entry 2 is corrupt: its checksum does not match");
+}
+
+#[test]
+fn missing_entry_is_an_error() {
+    let folder = Folder::new("hole");
+    let mut journal = Journal::open(&folder.0, || 5).unwrap();
+    journal.write(1, &[founding(), entries(1..=2), entries(4..=5)]).unwrap();
+    let error = journal.load().unwrap_err().to_string();
+    assert_eq!(error, "entry 3 of the log is missing");
+}
+
+#[test]
+fn unsynced_transaction_leaves_no_trace() {
+    let folder = Folder::new("torn");
+    let mut journal = Journal::open(&folder.0, || 5).unwrap();
+    journal.write(1, &[founding(), entries(1..=2)]).unwrap();
+    drop(journal);
+    let path = folder.0.join("log.redb");
+    let before = std::fs::read(&path).unwrap();
+    let mut journal = Journal::open(&folder.0, || 5).unwrap();
+    journal.write(1, &[entries(3..=9)]).unwrap();
+    drop(journal);
+    // The machine died in the middle of the last write: only its first half reached the disk.
+    let mut torn = std::fs::read(&path).unwrap();
+    let half = torn.len() / 2;
+    torn[..half].copy_from_slice(&before[..half.min(before.len())]);
+    std::fs::write(&path, torn).unwrap();
+    let reopened = Journal::open(&folder.0, || 5).and_then(|j| j.load());
+    // Either the state before the write, or an error; never a log with wrong entries.
+    if let Ok(stored) = reopened {
+        let entries = stored.unwrap().entries;
+        assert!(entries.iter().enumerate().all(|(i, e)| *e == entry(1, i as u64 + 1)));
+    }
+}
+
+fn refusal(key: RefusalKey, account: Option<&str>, at: u64) -> Refusal {
+    Refusal {
+        key,
+        at,
+        account: account.map(|a| AccountName::try_from(a).unwrap()),
+        service: None,
+        tier: None,
+        reason: RefusalReason::Shed,
+        verdict: Verdict::NotRun,
+        request: RequestId::from(1),
+    }
+}
+
+fn config(incarnation: u64) -> LedgerConfig {
+    LedgerConfig { vm: VmName::try_from("vm-1").unwrap(), incarnation }
+}
+
+#[tokio::test]
+async fn synced_refusals_survive_and_are_found_by_account_and_time() {
+    let folder = Folder::new("refusals");
+    let store = RefusalStore::open(&folder.0).unwrap();
+    let ledger = Ledger::start(config(1), store, |e| panic!("{e}"));
+    let mut waits = Vec::new();
+    for n in 0..100_u64 {
+        let account = [Some("a"), Some("ab"), None][usize::try_from(n % 3).unwrap()];
+        waits.push(ledger.record(|key| refusal(key, account, n)).1);
+    }
+    for wait in waits {
+        assert!(wait.await.unwrap());
+    }
+    let a = AccountName::try_from("a").unwrap();
+    assert_eq!(ledger.query(Some(&a), 0, 1_000).unwrap().len(), 34, "not those of ab");
+    assert_eq!(ledger.query(Some(&a), 50, 1_000).unwrap().len(), 17);
+    assert_eq!(ledger.query(None, 0, 1_000).unwrap().len(), 33);
+    drop(ledger);
+    // The ledger's thread ends with its last handle and closes the file.
+    let reopened = loop {
+        if let Ok(store) = RefusalStore::open(&folder.0) {
+            break store;
+        }
+    };
+    assert_eq!(reopened.len().unwrap(), 100);
+}
+
+#[tokio::test]
+async fn resent_records_are_held_once_and_holes_are_told() {
+    let ledger = Ledger::start(config(1), RefusalStore::in_memory(), |e| panic!("{e}"));
+    let key = |seq| RefusalKey { vm: VmName::try_from("vm-2").unwrap(), incarnation: 9, seq };
+    for _ in 0..3 {
+        let records = [1, 2, 5].map(|seq| refusal(key(seq), Some("a"), seq)).to_vec();
+        assert!(ledger.take(records).await.unwrap());
+    }
+    let a = AccountName::try_from("a").unwrap();
+    let found = ledger.query(Some(&a), 0, 10).unwrap();
+    assert_eq!(found.len(), 3);
+    let holes = Ledger::holes(found.iter().map(|r| &r.key));
+    assert_eq!(holes.len(), 1);
+    assert_eq!((holes[0].incarnation, holes[0].missing), (9, 2));
+}
