--- a/crates/broker/src/config.rs
+++ b/crates/broker/src/config.rs
@@ -24,6 +24,7 @@
     pub(crate) max_waiting: usize,
     pub(crate) max_prefixes: usize,
     pub(crate) ordered: bool,
+    pub(crate) windowed: bool,
 }
 
 impl Default for Config {
@@ -33,6 +34,7 @@
             max_waiting: MAX_WAITING,
             max_prefixes: PREFIXES_PER_SERVER,
             ordered: true,
+            windowed: true,
         }
     }
 }
@@ -64,4 +66,12 @@
         self.ordered = ordered;
         self
     }
+
+    /// Whether servers get no more requests at once than they announce; if not, all tickets are
+    /// granted as they come, as a baseline.
+    #[must_use]
+    pub fn windowed(mut self, windowed: bool) -> Self {
+        self.windowed = windowed;
+        self
+    }
 }
--- a/crates/broker/src/engine.rs
+++ b/crates/broker/src/engine.rs
@@ -56,7 +56,7 @@
     pub fn new(config: Config) -> Self {
         Self {
             queue: Queue::new(config.ordered),
-            pool: Pool::new(config.max_prefixes),
+            pool: Pool::new(config.max_prefixes, config.windowed),
             pace: Pace::default(),
             router: config.router,
             max_waiting: config.max_waiting,
--- a/crates/broker/src/lib.rs
+++ b/crates/broker/src/lib.rs
@@ -46,6 +46,7 @@
 mod config;
 mod engine;
 mod pace;
+mod policy;
 mod pool;
 mod prefix;
 mod queue;
@@ -55,5 +56,6 @@
     action::{Action, Offer, Placed},
     config::Config,
     engine::{Broker, Summary},
+    policy::Policy,
     route::{Candidate, LeastInFlight, LeastReported, Predicted, RoundRobin, Router, TwoChoices},
 };
--- a/crates/broker/src/pool.rs
+++ b/crates/broker/src/pool.rs
@@ -84,10 +84,11 @@
     median: f64,
     share: f64,
     max_prefixes: usize,
+    windowed: bool,
 }
 
 impl Pool {
-    pub(crate) fn new(max_prefixes: usize) -> Self {
+    pub(crate) fn new(max_prefixes: usize, windowed: bool) -> Self {
         Self {
             servers: BTreeMap::new(),
             running: HashMap::new(),
@@ -95,6 +96,7 @@
             median: 1.0,
             share: 1.0,
             max_prefixes,
+            windowed,
         }
     }
 
@@ -165,9 +167,13 @@
         self.serving(now).map(|s| s.window(self.median, self.share)).sum()
     }
 
+    fn has_room_on(&self, server: &Server) -> bool {
+        !self.windowed || server.running < server.window(self.median, self.share)
+    }
+
     /// Whether some server has room.
     pub(crate) fn has_room(&self, now: Time) -> bool {
-        self.serving(now).any(|s| s.running < s.window(self.median, self.share))
+        self.serving(now).any(|s| self.has_room_on(s))
     }
 
     /// Chooses a server with room for this ticket.
@@ -178,7 +184,7 @@
         pace: &Pace,
         router: &mut dyn Router,
     ) -> Option<ServerId> {
-        let room = self.serving(now).filter(|s| s.running < s.window(self.median, self.share));
+        let room = self.serving(now).filter(|s| self.has_room_on(s));
         let candidates: Vec<_> = room
             .map(|s| Candidate {
                 id: &s.info.id,
@@ -205,7 +211,7 @@
     ) -> Option<SocketAddr> {
         let server = self.servers.get_mut(id)?;
         Invariant::LeavingServer.check(server.duty == Duty::Serving);
-        Invariant::Window.check(server.running < server.info.slots);
+        Invariant::Window.check(!self.windowed || server.running < server.info.slots);
         let work = pace.total(&ticket, server.prefixes.holds(ticket.prefix));
         server.running += 1;
         server.work += work;
--- a/crates/control/src/brokers.rs
+++ b/crates/control/src/brokers.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use broker::{Action, Broker, Config, Offer, Placed};
+use broker::{Action, Broker, Offer, Placed, Policy};
 use model::{
     Announcement, Outcome, RequestId, ServerId, ServiceName, Span, Time, VmName, ZoneName,
 };
@@ -26,9 +26,14 @@
     by_service: BTreeMap<ServiceName, Broker>,
     heard: BTreeMap<ServerId, Heard>,
     share: Option<f64>,
+    policy: Policy,
 }
 
 impl Brokers {
+    pub(crate) fn new(policy: Policy) -> Self {
+        Self { policy, ..Self::default() }
+    }
+
     /// Remembers an announcement, so that it can be passed to a broker that takes over.
     pub(crate) fn hear(&mut self, now: Time, announcement: Announcement, zone: ZoneName) {
         let lapses = now + announcement.ttl;
@@ -51,9 +56,9 @@
     }
 
     fn broker(&mut self, now: Time, service: &ServiceName, marks: &Marks) -> &mut Broker {
-        let share = self.share.unwrap_or(1.0);
+        let (share, policy) = (self.share.unwrap_or(1.0), self.policy);
         self.by_service.entry(service.clone()).or_insert_with(|| {
-            let mut broker = Broker::new(Config::default());
+            let mut broker = Broker::new(policy.config());
             broker.warm_up(now + WARM_UP);
             broker.set_share(share);
             for (server, mark) in marks.all() {
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -57,6 +57,8 @@
 mod voters;
 mod wire;
 
+pub use broker::Policy;
+
 pub use crate::{
     contact::{Act, Contact, allowed},
     event::{Answer, Change, Clock, Input, Output, Published},
--- a/crates/control/src/machine.rs
+++ b/crates/control/src/machine.rs
@@ -66,7 +66,7 @@
             incarnation: setup.incarnation,
             members: Members::new(setup),
             marks,
-            brokers: Brokers::default(),
+            brokers: Brokers::new(setup.policy),
             requests: Requests::default(),
             ended: Ended::default(),
             shared: Shared::new(setup),
--- a/crates/control/src/setup.rs
+++ b/crates/control/src/setup.rs
@@ -1,5 +1,6 @@
 //! What a machine is told when it starts.
 
+use broker::Policy;
 use model::{VmName, ZoneName};
 use raft::{Member, Stored};
 
@@ -31,6 +32,8 @@
     pub stored: Option<Stored>,
     /// Seed for random choices.
     pub seed: u64,
+    /// Policy of the brokers that this VM hosts.
+    pub policy: Policy,
 }
 
 impl Setup {
@@ -46,6 +49,7 @@
             incarnation: 1,
             stored: None,
             seed: 1,
+            policy: Policy::default(),
         }
     }
 }
--- a/crates/control/tests/random.rs
+++ b/crates/control/tests/random.rs
@@ -144,6 +144,7 @@
             member: Member { vm: name(at), disk },
             stored: vm.disk.clone(),
             seed: self.rng.random(),
+            policy: control::Policy::default(),
         };
         vm.machine = Some(Machine::new(&setup));
         self.next += 1;
--- a/crates/fuchsiausher/src/bed.rs
+++ b/crates/fuchsiausher/src/bed.rs
@@ -3,13 +3,15 @@
 use std::{
     net::{SocketAddr, TcpListener},
     path::PathBuf,
+    sync::Arc,
     time::Duration,
 };
 
+use control::Policy;
 use error_stack::{Report, ResultExt};
 use serde_json::{Value, json};
 use settings::{Peer, Secrets, Settings, Waits};
-use stand::{Announcer, Answered, CallError, Config, Pace, Role, Server, call};
+use stand::{Announcer, Answered, CallError, Config, Holders, Pace, Role, Server, call};
 
 use crate::{
     client::AdminClient,
@@ -59,6 +61,8 @@
     pub detours: Vec<(usize, usize, SocketAddr)>,
     /// Longest wait for the head of a backend server's answer.
     pub head: Duration,
+    /// Policy of the brokers.
+    pub policy: Policy,
 }
 
 /// A catalogue entry for a test account whose credential is its name.
@@ -110,6 +114,7 @@
                 .collect(),
             detours: Vec::new(),
             head: Duration::from_secs(20),
+            policy: Policy::default(),
         }
     }
 
@@ -135,6 +140,7 @@
     /// The backend servers, in the order of their groups.
     pub servers: Vec<Server>,
     folder: PathBuf,
+    holders: Arc<Holders>,
 }
 
 impl Bed {
@@ -148,7 +154,8 @@
             std::env::temp_dir().join(format!("fuchsiausher-bed-{:x}", rand::random::<u64>()));
         let settings = make_settings(&config, &folder);
         let nodes = settings.iter().map(|_| None).collect();
-        let mut bed = Self { config, settings, nodes, servers: Vec::new(), folder };
+        let holders = Arc::default();
+        let mut bed = Self { config, settings, nodes, servers: Vec::new(), folder, holders };
         for at in 0..bed.settings.len() {
             bed.start_node(at).await?;
         }
@@ -165,7 +172,7 @@
     ///
     /// If it cannot be started.
     pub async fn start_node(&mut self, at: usize) -> Result<(), Report<Error>> {
-        self.nodes[at] = Some(Node::start(&self.settings[at]).await?);
+        self.nodes[at] = Some(Node::start_with(&self.settings[at], self.config.policy).await?);
         Ok(())
     }
 
@@ -184,6 +191,7 @@
                     pace: group.pace,
                     cache: group.cache,
                     zone: zone.clone(),
+                    holders: Arc::clone(&self.holders),
                 };
                 let mut server =
                     Server::start(config).await.change_context_lazy(|| bed_error("a stand-in"))?;
--- a/crates/fuchsiausher/src/lib.rs
+++ b/crates/fuchsiausher/src/lib.rs
@@ -35,6 +35,8 @@
 mod node;
 mod promises;
 
+pub use control::Policy;
+
 pub use crate::{
     bed::{Bed, BedConfig, EngineGroup, account_entry, chat_body},
     cli::{Exit, main},
--- a/crates/fuchsiausher/src/node.rs
+++ b/crates/fuchsiausher/src/node.rs
@@ -8,7 +8,7 @@
 };
 
 use backend::{Client, Deadlines};
-use control::{Input, PeerSetup, Setup};
+use control::{Input, PeerSetup, Policy, Setup};
 use driver::{Disk, Handle, NoDisk};
 use entry::{App, AppConfig};
 use error_stack::{Report, ResultExt};
@@ -67,12 +67,21 @@
     ///
     /// If the data folder cannot be used, or an address cannot be bound.
     pub async fn start(settings: &Settings) -> Result<Self> {
+        Self::start_with(settings, Policy::default()).await
+    }
+
+    /// Starts an entry VM whose brokers follow a policy other than the default, to compare them.
+    ///
+    /// # Errors
+    ///
+    /// As [`Node::start`].
+    pub async fn start_with(settings: &Settings, policy: Policy) -> Result<Self> {
         let incarnation = wall_micros();
         let meters =
             Meters::new(settings.vm.as_str()).change_context(Error::from(ErrorKind::Metrics))?;
         let meters = Arc::new(meters);
         let links = links(settings, incarnation, &meters)?;
-        let (handle, ledger) = start_control(settings, incarnation, &links, &meters)?;
+        let (handle, ledger) = start_control(settings, (incarnation, policy), &links, &meters)?;
         let app = App::new(AppConfig {
             vm: settings.vm.clone(),
             zone: settings.zone.clone(),
@@ -189,7 +198,7 @@
 /// Opens the data folder, if there is one, and starts the control thread.
 fn start_control(
     settings: &Settings,
-    incarnation: u64,
+    (incarnation, policy): (u64, Policy),
     links: &Links,
     meters: &Arc<Meters>,
 ) -> Result<(Handle, Arc<Ledger>)> {
@@ -206,19 +215,24 @@
         let data = || Error::from(ErrorKind::Data);
         let journal = Journal::open(folder, rand::random).change_context_lazy(data)?;
         let stored = journal.load().change_context_lazy(data)?;
-        let setup = setup(settings, incarnation, journal.disk(), stored);
+        let setup = setup(settings, (incarnation, policy), journal.disk(), stored);
         let disk = JournalDisk(journal);
         let store = RefusalStore::open(folder).change_context_lazy(data)?;
         (driver::start(&setup, outbox, disk, meters, failed), store)
     } else {
-        let setup = setup(settings, incarnation, rand::random(), None);
+        let setup = setup(settings, (incarnation, policy), rand::random(), None);
         (driver::start(&setup, outbox, NoDisk, meters, failed), RefusalStore::in_memory())
     };
     let handle = handle.change_context(Error::from(ErrorKind::Threads))?;
     Ok((handle, Arc::new(Ledger::start(config, store, report))))
 }
 
-fn setup(settings: &Settings, incarnation: u64, disk: u64, stored: Option<raft::Stored>) -> Setup {
+fn setup(
+    settings: &Settings,
+    (incarnation, policy): (u64, Policy),
+    disk: u64,
+    stored: Option<raft::Stored>,
+) -> Setup {
     let peer = |p: &settings::Peer| PeerSetup { vm: p.vm.clone(), zone: p.zone.clone() };
     Setup {
         vm: settings.vm.clone(),
@@ -229,6 +243,7 @@
         member: Member { vm: settings.vm.clone(), disk },
         stored,
         seed: rand::random(),
+        policy,
     }
 }
 
--- /dev/null
+++ b/crates/lab/src/slopes.rs
@@ -0,0 +1,2 @@
+//! x
+pub(crate) fn run() {}
--- a/crates/meters/src/count.rs
+++ b/crates/meters/src/count.rs
@@ -5,7 +5,7 @@
     fmt,
     sync::{
         Mutex, PoisonError,
-        atomic::{AtomicI64, Ordering},
+        atomic::{AtomicI64, AtomicU64, Ordering},
     },
 };
 
@@ -72,6 +72,8 @@
     broken: Gauge<u64>,
     open: Gauge<i64>,
     open_now: AtomicI64,
+    peer_bytes: Counter<u64>,
+    peer_bytes_now: AtomicU64,
     by_reason: Mutex<BTreeMap<RefusalReason, u64>>,
 }
 
@@ -103,6 +105,8 @@
             broken: meter.u64_gauge("invariants_broken").build(),
             open: meter.i64_gauge("open_requests").build(),
             open_now: AtomicI64::new(0),
+            peer_bytes: meter.u64_counter("peer_bytes").build(),
+            peer_bytes_now: AtomicU64::new(0),
             by_reason: Mutex::default(),
             registry,
             _provider: provider,
@@ -151,6 +155,18 @@
         self.open.record(open, &[]);
     }
 
+    /// Counts bytes of messages between entry VMs that this VM sent.
+    pub fn sent(&self, bytes: usize) {
+        self.peer_bytes.add(bytes as u64, &[]);
+        self.peer_bytes_now.fetch_add(bytes as u64, Ordering::Relaxed);
+    }
+
+    /// Bytes of messages between entry VMs that this VM sent so far.
+    #[must_use]
+    pub fn bytes_sent(&self) -> u64 {
+        self.peer_bytes_now.load(Ordering::Relaxed)
+    }
+
     /// All counters in Prometheus' text form.
     ///
     /// # Errors
--- a/crates/peer/src/client.rs
+++ b/crates/peer/src/client.rs
@@ -14,6 +14,7 @@
 use error_stack::{Report, ResultExt};
 use meters::{Meters, Op};
 use model::VmName;
+use prost::Message as _;
 use tokio::sync::mpsc;
 use tonic::transport::{Channel, Endpoint};
 
@@ -29,6 +30,8 @@
 const MAX_WAITING: usize = 16_384;
 /// Most messages in one delivery.
 const MAX_BATCH: usize = 256;
+/// Bytes of HTTP/2 and gRPC framing for each call and its answer, with indexed headers.
+const CALL_OVERHEAD_BYTES: usize = 160;
 /// Longest wait for a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Longest wait for a delivery; heartbeats make a longer one useless.
@@ -169,6 +172,7 @@
         };
         batch.clear();
         let call = identity.seal(Purpose::Deliver, &to, payload);
+        meters.sent(call.encoded_len() + CALL_OVERHEAD_BYTES);
         let mac = call.mac.clone();
         let delivered = match tokio::time::timeout(DELIVER_TIMEOUT, client.deliver(call)).await {
             Ok(Ok(answer)) => identity.key.verify_answer(&mac, &answer.into_inner()),
--- a/crates/stand/src/engine.rs
+++ b/crates/stand/src/engine.rs
@@ -1,9 +1,9 @@
 //! A model engine: prefills one prompt at a time, decodes all running requests together.
 
 use std::{
-    collections::VecDeque,
+    collections::{HashMap, VecDeque},
     io,
-    sync::{Arc, atomic::Ordering},
+    sync::{Arc, Mutex, PoisonError, atomic::Ordering},
     time::Duration,
 };
 
@@ -28,35 +28,59 @@
 const BYTES_PER_TOKEN: usize = 4;
 /// Tokens of an answer whose request sets no limit.
 const DEFAULT_TOKENS: u64 = 64;
-/// Hundredths of a prompt that its first message makes up when there are several.
-const PREFIX_SHARE: u64 = 80;
-
 /// Prefixes held, least recently used first.
 #[derive(Debug)]
 pub(crate) struct Cache {
     max: usize,
     held: VecDeque<String>,
-    evicted: VecDeque<String>,
+    holders: Arc<Holders>,
 }
 
 impl Cache {
-    pub(crate) fn new(max: usize) -> Self {
-        Self { max, held: VecDeque::new(), evicted: VecDeque::new() }
+    pub(crate) fn new(max: usize, holders: Arc<Holders>) -> Self {
+        Self { max, held: VecDeque::new(), holders }
     }
 
-    /// Whether a prefix is held; it is from now on.
-    fn touch(&mut self, prefix: &str) -> bool {
+    /// Whether a prefix is held here, and whether any server held it; it is held from now on.
+    fn touch(&mut self, prefix: &str) -> (bool, bool) {
         let position = self.held.iter().position(|p| p == prefix);
-        if let Some(at) = position {
-            self.held.remove(at);
+        let anywhere = self.holders.count(prefix) > 0;
+        match position {
+            Some(at) => {
+                self.held.remove(at);
+            }
+            None => self.holders.change(prefix, 1),
         }
         self.held.push_back(prefix.to_owned());
         if self.held.len() > self.max
             && let Some(old) = self.held.pop_front()
         {
-            self.evicted.push_back(old);
+            self.holders.change(&old, -1);
+        }
+        (position.is_some(), anywhere)
+    }
+}
+
+impl Drop for Cache {
+    fn drop(&mut self) {
+        for prefix in &self.held {
+            self.holders.change(prefix, -1);
         }
-        position.is_some()
+    }
+}
+
+/// How many stand-ins hold each prefix, to tell prefill that was done again.
+#[derive(Debug, Default)]
+pub struct Holders(Mutex<HashMap<String, i64>>);
+
+impl Holders {
+    fn count(&self, prefix: &str) -> i64 {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner).get(prefix).copied().unwrap_or(0)
+    }
+
+    fn change(&self, prefix: &str, by: i64) {
+        let mut holders = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        *holders.entry(prefix.to_owned()).or_default() += by;
     }
 }
 
@@ -65,6 +89,7 @@
     id: String,
     prompt: u64,
     prefix: String,
+    prefix_tokens: u64,
     tokens: u64,
     streamed: bool,
 }
@@ -80,6 +105,7 @@
         Self {
             id,
             prompt: (bytes.div_ceil(BYTES_PER_TOKEN) as u64).max(1),
+            prefix_tokens: prefix.len().div_ceil(BYTES_PER_TOKEN) as u64,
             prefix,
             tokens: value["max_tokens"].as_u64().unwrap_or(DEFAULT_TOKENS),
             streamed: value["stream"].as_bool().unwrap_or(false),
@@ -153,16 +179,22 @@
 
 async fn prefill(shared: &Arc<Shared>, work: &Work, running: &mut Running) {
     let mut cache = shared.prefill.lock().await;
-    let had = cache.evicted.contains(&work.prefix);
-    let held = !work.prefix.is_empty() && cache.touch(&work.prefix);
-    let shared_part = work.prompt * PREFIX_SHARE / 100;
-    let tokens = if held { work.prompt - shared_part } else { work.prompt };
-    if had && !held && !work.prefix.is_empty() {
-        add(&shared.stats.wasted, shared_part);
+    let (held, anywhere) =
+        if work.prefix.is_empty() { (false, false) } else { cache.touch(&work.prefix) };
+    let tokens = if held { work.prompt - work.prefix_tokens } else { work.prompt };
+    if anywhere && !held {
+        add(&shared.stats.wasted, work.prefix_tokens);
     }
     running.prefilled = tokens;
     add(&shared.stats.prefilled, tokens);
-    tokio::time::sleep(shared.faults.slowed(tokens * shared.config.pace.prefill_us)).await;
+    pause(shared.faults.slowed(tokens * shared.config.pace.prefill_us)).await;
+}
+
+/// Sleeps, but not at all for no time: the timer's shortest sleep is a millisecond.
+pub(crate) async fn pause(time: Duration) {
+    if !time.is_zero() {
+        tokio::time::sleep(time).await;
+    }
 }
 
 /// Time between two tokens: it grows with the requests decoded together.
@@ -175,7 +207,7 @@
 
 async fn whole_answer(shared: &Arc<Shared>, work: &Work, mut running: Running) -> Response<Body> {
     for _ in 0..work.tokens {
-        tokio::time::sleep(gap(shared)).await;
+        pause(gap(shared)).await;
     }
     add(&shared.stats.generated, work.tokens);
     running.finish();
@@ -227,8 +259,11 @@
         d.running.finish();
         return Some((Ok(Bytes::from_static(b"data: [DONE]\n\n")), d));
     }
-    d.due += gap(&d.shared);
-    tokio::time::sleep_until(d.due).await;
+    let gap = gap(&d.shared);
+    d.due += gap;
+    if !gap.is_zero() {
+        tokio::time::sleep_until(d.due).await;
+    }
     d.sent += 1;
     add(&d.shared.stats.generated, 1);
     let value = json!({
--- a/crates/stand/src/lib.rs
+++ b/crates/stand/src/lib.rs
@@ -14,6 +14,7 @@
 pub use crate::{
     announce::Announcer,
     call::{Answered, CallError, call},
+    engine::Holders,
     faults::Fault,
     server::{Config, Pace, Role, Server},
     stats::{Stats, Totals},
--- a/crates/stand/src/plain.rs
+++ b/crates/stand/src/plain.rs
@@ -8,7 +8,7 @@
 use serde_json::json;
 
 use crate::{
-    engine::header_text,
+    engine::{header_text, pause},
     faults::Fault,
     server::{Body, Shared, never},
     stats::add,
@@ -33,7 +33,7 @@
         Fault::Hang => std::future::pending().await,
         _ => {}
     }
-    tokio::time::sleep(shared.faults.slowed(shared.config.pace.decode_us)).await;
+    pause(shared.faults.slowed(shared.config.pace.decode_us)).await;
     add(&shared.stats.finished, 1);
     let value = json!({
         "server": shared.config.id,
--- a/crates/stand/src/server.rs
+++ b/crates/stand/src/server.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     announce::Announcer,
-    engine,
+    engine::{self, Holders},
     faults::{Fault, Faults},
     plain,
     stats::Stats,
@@ -51,6 +51,8 @@
     pub cache: usize,
     /// Its availability zone.
     pub zone: String,
+    /// Which stand-ins hold which prefixes, shared by those that are measured together.
+    pub holders: Arc<Holders>,
 }
 
 /// What the handlers of one stand-in share.
@@ -84,7 +86,7 @@
     pub async fn start(config: Config) -> std::io::Result<Self> {
         let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
         let address = listener.local_addr()?;
-        let prefill = Mutex::new(engine::Cache::new(config.cache));
+        let prefill = Mutex::new(engine::Cache::new(config.cache, Arc::clone(&config.holders)));
         let stats = Arc::new(Stats::default());
         let shared = Arc::new(Shared { config, stats, faults: Faults::default(), prefill });
         let connections: Arc<std::sync::Mutex<Vec<JoinHandle<()>>>> = Arc::default();
