Order tickets by turns and length, prefer warm prefixes, ask other zones for room first

Cause: within a tier tickets waited first in, first out, a freed slot took the head whatever prefix it needed, tickets settled in their own zone's queue while another zone had room, and a short request behind a long one made a healthy server look like a straggler. Change: accounts take turns, short work first within an account; among the first tickets of a turn the one that wastes least prefill, bounded skips; a ticket is sent on when its predicted wait is over an eighth of its slack, and its last round goes to the zone with the shortest wait; slowness is observed over predicted work; announcements may say how many prefixes the cache holds.

--- a/crates/broker/src/action.rs
+++ b/crates/broker/src/action.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use model::{RefusalReason, RequestId, ServerId, Ticket, VmName};
+use model::{RefusalReason, RequestId, ServerId, Span, Ticket, VmName};
 
 /// A ticket offered to a broker.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -48,6 +48,8 @@
         owner: VmName,
         /// Why.
         reason: RefusalReason,
+        /// How long it was predicted to wait here.
+        wait: Span,
     },
     /// Cancel this running request: its slot was given to a higher tier.
     Revoke {
--- a/crates/broker/src/engine.rs
+++ b/crates/broker/src/engine.rs
@@ -17,6 +17,13 @@
 /// Share of the observed time to the first byte that an idle server needs.
 const IDLE_SHARE: f64 = 0.5;
 
+/// Part of its slack, as a divisor, that a ticket waits here while other zones were not asked.
+const PATIENCE_SHARE: u64 = 8;
+/// Tickets among which one is looked for whose prefix is held.
+const AFFINITY_REACH: usize = 24;
+/// How often a ticket that is first in order is passed over for one whose prefix is held.
+const MAX_SKIPS: u32 = 12;
+
 /// Queues tickets and grants them servers, for one service in one availability zone.
 ///
 /// Two rules hold at every step. Tickets are granted strictly by tier: none is granted while a
@@ -102,16 +109,18 @@
         }
         let warm = now >= self.warm_at;
         if warm && !self.pool.any_serving(now) {
-            out.push(decline(&offer, RefusalReason::NoServer));
+            out.push(decline(&offer, RefusalReason::NoServer, Span::ZERO));
             return;
         }
         if self.is_infeasible(&offer) {
-            out.push(decline(&offer, RefusalReason::Deadline));
+            out.push(decline(&offer, RefusalReason::Deadline, Span::ZERO));
             return;
         }
         let latest = self.latest_start(now, &offer);
-        if warm && self.must_overflow(now, &offer, latest) {
-            self.overflow(now, offer, out);
+        let wait = self.predicted_wait(now, &offer);
+        let patience = if offer.urgent { latest - now } else { patience(latest - now) };
+        if warm && wait > patience {
+            self.overflow(now, offer, wait, out);
             return;
         }
         let work = self.pace.total(&offer.ticket, false);
@@ -172,11 +181,12 @@
 
     /// Lets time pass: lapsed servers, expired tickets, stragglers.
     pub fn tick(&mut self, now: Time, out: &mut Vec<Action>) {
-        self.pool.refresh(now);
+        self.pool.refresh(now, &self.pace);
         self.pump(now, out);
         while let Some(request) = self.queue.expired(now) {
             if let Some(waiting) = self.queue.remove(request) {
-                self.overflow(now, waiting.offer, out);
+                let wait = self.predicted_wait(now, &waiting.offer);
+                self.overflow(now, waiting.offer, wait, out);
             }
         }
         if now >= self.warm_at && !self.pool.any_serving(now) {
@@ -215,20 +225,23 @@
         if offer.urgent { now + slack } else { now + Span::from_micros(slack.as_micros() / 2) }
     }
 
-    /// Whether the ticket is predicted to start too late if it waits.
-    fn must_overflow(&self, now: Time, offer: &Offer, latest: Time) -> bool {
+    /// How long the ticket is predicted to wait; zero as long as nothing was observed.
+    fn predicted_wait(&self, now: Time, offer: &Offer) -> Span {
         if !self.ordered || self.pool.has_room(now) || !self.pace.is_known() {
-            return false;
+            return Span::ZERO;
         }
         let capacity = f64::from(self.pool.capacity(now).max(1));
-        let wait = Span::from_secs_f64(self.queue.work_before(offer.ticket.tier) / capacity);
-        now + wait > latest
+        let work = self.pace.total(&offer.ticket, false);
+        // Half a request of ordinary length is left, on the average, of each that runs.
+        let running = self.pace.usual() / 2.0;
+        let before = self.queue.work_before(offer.ticket.tier, work);
+        Span::from_secs_f64(before / capacity + running / capacity)
     }
 
     /// Serves a ticket that cannot wait, at the cost of a lower tier, or declines it.
-    fn overflow(&mut self, now: Time, offer: Offer, out: &mut Vec<Action>) {
+    fn overflow(&mut self, now: Time, offer: Offer, wait: Span, out: &mut Vec<Action>) {
         if !offer.urgent || !self.ordered {
-            out.push(decline(&offer, RefusalReason::Shed));
+            out.push(decline(&offer, RefusalReason::Shed, wait));
             return;
         }
         let tier = offer.ticket.tier;
@@ -241,7 +254,7 @@
         }
         self.evict_below(tier, out);
         Invariant::TierOrder.check(self.queue.lowest().is_none_or(|t| !tier.outranks(t)));
-        out.push(decline(&offer, RefusalReason::Shed));
+        out.push(decline(&offer, RefusalReason::Shed, wait));
     }
 
     /// Declines every waiting ticket of a tier lower than `tier`, lowest first.
@@ -255,7 +268,7 @@
         if let Some(request) = self.queue.last()
             && let Some(Waiting { offer, .. }) = self.queue.remove(request)
         {
-            out.push(decline(&offer, RefusalReason::Shed));
+            out.push(decline(&offer, RefusalReason::Shed, Span::ZERO));
         }
     }
 
@@ -268,7 +281,7 @@
     fn decline_all(&mut self, out: &mut Vec<Action>) {
         for request in self.queue.requests() {
             if let Some(waiting) = self.queue.remove(request) {
-                out.push(decline(&waiting.offer, RefusalReason::NoServer));
+                out.push(decline(&waiting.offer, RefusalReason::NoServer, Span::ZERO));
             }
         }
     }
@@ -278,18 +291,38 @@
         if now < self.warm_at {
             return;
         }
-        while let Some(head) = self.queue.head() {
-            let ticket = &head.offer.ticket;
-            let Some(server) = self.pool.choose(now, ticket, &self.pace, &mut *self.router) else {
+        while let Some(request) = self.next_ticket(now) {
+            let Some(waiting) = self.queue.grant(request) else {
                 return;
             };
-            let Some(waiting) = self.queue.pop() else {
+            let ticket = &waiting.offer.ticket;
+            let Some(server) = self.pool.choose(now, ticket, &self.pace, &mut *self.router) else {
                 return;
             };
             self.start(now, waiting.offer, &server, out);
         }
     }
 
+    /// The ticket to grant next: the first in order, or one of the few behind it that wastes less
+    /// prefill. They are of one tier and one account, and the first is passed over only a few
+    /// times.
+    fn next_ticket(&mut self, now: Time) -> Option<RequestId> {
+        let head = self.queue.head()?;
+        let first = head.offer.ticket.request;
+        if !self.pool.has_room(now) {
+            return None;
+        }
+        if head.skips >= MAX_SKIPS || !self.ordered {
+            return Some(first);
+        }
+        let few = self.queue.first_few(AFFINITY_REACH).map(|w| &w.offer.ticket);
+        let chosen = self.pool.least_waste(now, few).map_or(first, |t| t.request);
+        if chosen != first {
+            self.queue.skip(first);
+        }
+        Some(chosen)
+    }
+
     fn start(&mut self, now: Time, offer: Offer, server: &ServerId, out: &mut Vec<Action>) {
         let waits = self.queue.head().map(|w| w.offer.ticket.tier);
         let tier = offer.ticket.tier;
@@ -303,6 +336,13 @@
     }
 }
 
-fn decline(offer: &Offer, reason: RefusalReason) -> Action {
-    Action::Decline { request: offer.ticket.request, owner: offer.owner.clone(), reason }
+fn decline(offer: &Offer, reason: RefusalReason, wait: Span) -> Action {
+    let (request, owner) = (offer.ticket.request, offer.owner.clone());
+    Action::Decline { request, owner, reason, wait }
+}
+
+/// How long a ticket that is not urgent may be predicted to wait here before it is sent on to a
+/// zone that may have room at once.
+fn patience(slack: Span) -> Span {
+    Span::from_micros(slack.as_micros() / PATIENCE_SHARE)
 }
--- a/crates/broker/src/lib.rs
+++ b/crates/broker/src/lib.rs
@@ -23,6 +23,7 @@
 //!     fencing: Default::default(),
 //!     ttl_ms: 3_000,
 //!     load: 0,
+//!     prefixes: None,
 //! };
 //! broker.announce(now, raw.try_into()?, &mut actions);
 //! let ticket = Ticket {
--- a/crates/broker/src/pace.rs
+++ b/crates/broker/src/pace.rs
@@ -23,6 +23,7 @@
     sum_xy: f64,
     gap: f64,
     length_ratio: f64,
+    usual: f64,
 }
 
 impl Pace {
@@ -36,6 +37,7 @@
         self.sum_xx = self.sum_xx * DECAY + x * x;
         self.sum_xy = self.sum_xy * DECAY + x * y;
         self.samples = self.samples.saturating_add(1);
+        self.usual = blend(self.usual, total.as_secs_f64());
         if tokens > 0 {
             let gap = (total - first).as_secs_f64() / f64::from(tokens);
             let ratio = f64::from(tokens) / f64::from(ticket.answer.max(1));
@@ -66,6 +68,11 @@
         self.first(ticket, held) + self.gap * f64::from(ticket.answer) * ratio
     }
 
+    /// Mean seconds from dispatch to the last byte.
+    pub(crate) fn usual(&self) -> f64 {
+        self.usual
+    }
+
     fn line(&self) -> (f64, f64) {
         let mean_x = self.sum_x / self.n;
         let mean_y = self.sum_y / self.n;
@@ -79,6 +86,6 @@
 }
 
 /// An exponentially weighted mean whose first observation counts in full.
-pub(crate) fn blend(old: f64, new: f64) -> f64 {
+fn blend(old: f64, new: f64) -> f64 {
     if old == 0.0 { new } else { old * DECAY + new * (1.0 - DECAY) }
 }
--- a/crates/broker/src/pool.rs
+++ b/crates/broker/src/pool.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     action::{Action, Placed},
-    pace::{Pace, blend},
+    pace::Pace,
     prefix::PrefixMap,
     route::{Candidate, Router},
 };
@@ -20,8 +20,10 @@
 const PROBE_WINDOW: u32 = 1;
 /// Share by which an idle straggler's slowness decays to 1 at each check.
 const FORGIVE_RATE: f64 = 0.01;
-/// Weight of the newest observation in a server's slowness.
-const SLOWNESS_WEIGHT: f64 = 0.3;
+/// Share of the old sums kept at each observation of a server.
+const FADE: f64 = 0.85;
+/// Seconds at ordinary speed that a server is credited with before it was observed.
+const PRIOR_S: f64 = 0.05;
 
 /// One backend server.
 #[derive(Debug)]
@@ -31,14 +33,22 @@
     pub(crate) duty: Duty,
     running: u32,
     work: f64,
-    slowness: f64,
+    /// Sums of predicted and observed seconds, the oldest fading.
+    predicted: f64,
+    observed: f64,
     overdue: f64,
     prefixes: PrefixMap,
 }
 
 impl Server {
+    /// Observed duration relative to the prediction. Long requests weigh more than short ones,
+    /// whose duration says more about what they waited behind than about the server.
+    fn measured(&self) -> f64 {
+        ((self.observed + PRIOR_S) / (self.predicted + PRIOR_S)).clamp(0.1, 20.0)
+    }
+
     fn slowness(&self) -> f64 {
-        self.slowness.max(self.overdue)
+        self.measured().max(self.overdue)
     }
 
     #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "`as` saturates")]
@@ -115,10 +125,20 @@
         let running = u32::try_from(held.len()).unwrap_or(u32::MAX);
         let work = held.iter().map(|r| r.work).sum();
         let duty = self.duties.get(&info.id).copied().unwrap_or(Duty::Serving);
-        let prefixes = PrefixMap::new(self.max_prefixes);
+        let announced = info.prefixes.and_then(|n| usize::try_from(n).ok());
+        let prefixes = PrefixMap::new(announced.unwrap_or(self.max_prefixes));
         let id = info.id.clone();
-        let server =
-            Server { info, lapses, duty, running, work, slowness: 1.0, overdue: 0.0, prefixes };
+        let server = Server {
+            info,
+            lapses,
+            duty,
+            running,
+            work,
+            predicted: 0.0,
+            observed: 0.0,
+            overdue: 0.0,
+            prefixes,
+        };
         self.servers.insert(id, server);
     }
 
@@ -130,25 +150,27 @@
     }
 
     /// Drops servers whose announcement lapsed, and looks for stragglers.
-    pub(crate) fn refresh(&mut self, now: Time) {
+    pub(crate) fn refresh(&mut self, now: Time, pace: &Pace) {
         self.servers.retain(|_, s| s.lapses > now);
         for server in self.servers.values_mut() {
             server.overdue = 0.0;
             if server.running == 0 {
-                server.slowness += (1.0 - server.slowness) * FORGIVE_RATE;
+                server.observed += (server.predicted - server.observed) * FORGIVE_RATE;
             }
         }
-        for run in self.running.values() {
+        let usual = pace.usual();
+        for run in self.running.values().filter(|_| pace.is_known()) {
             if let Some(server) = self.servers.get_mut(&run.server) {
                 let elapsed = (now - run.since).as_secs_f64();
-                server.overdue = server.overdue.max(elapsed / run.work.max(1e-3));
+                // Anything may wait behind one request of ordinary length.
+                server.overdue = server.overdue.max(elapsed / (run.work + usual));
             }
         }
         self.median = self.median_slowness();
     }
 
     fn median_slowness(&self) -> f64 {
-        let mut all: Vec<f64> = self.servers.values().map(|s| s.slowness).collect();
+        let mut all: Vec<f64> = self.servers.values().map(Server::measured).collect();
         all.sort_by(f64::total_cmp);
         all.get(all.len() / 2).copied().unwrap_or(1.0).max(0.5)
     }
@@ -176,6 +198,30 @@
         self.serving(now).any(|s| self.has_room_on(s))
     }
 
+    /// Which of these tickets, in their order, wastes the least prefill if it is granted now: one
+    /// whose prefix a server with room probably holds, then one whose prefix no server holds. The
+    /// others are better served by a server that has no room yet.
+    pub(crate) fn least_waste<'a>(
+        &self,
+        now: Time,
+        tickets: impl Iterator<Item = &'a Ticket>,
+    ) -> Option<&'a Ticket> {
+        let (free, busy): (Vec<&Server>, Vec<&Server>) =
+            self.serving(now).partition(|s| self.has_room_on(s));
+        let holds =
+            |servers: &[&Server], t: &Ticket| servers.iter().any(|s| s.prefixes.holds(t.prefix));
+        let mut cold = None;
+        for ticket in tickets {
+            if holds(&free, ticket) {
+                return Some(ticket);
+            }
+            if cold.is_none() && !holds(&busy, ticket) {
+                cold = Some(ticket);
+            }
+        }
+        cold
+    }
+
     /// Chooses a server with room for this ticket.
     pub(crate) fn choose(
         &self,
@@ -252,15 +298,15 @@
     /// Learns a server's speed from one finished request.
     pub(crate) fn observe(&mut self, id: &ServerId, predicted: f64, total: Span) {
         if let Some(server) = self.servers.get_mut(id) {
-            let ratio = (total.as_secs_f64() / predicted.max(1e-3)).clamp(0.1, 20.0);
-            server.slowness += (ratio - server.slowness) * SLOWNESS_WEIGHT;
+            server.predicted = server.predicted * FADE + predicted;
+            server.observed = server.observed * FADE + total.as_secs_f64();
         }
     }
 
     /// Counts a failure as a very slow answer, so that the server gets only probes for a while.
     pub(crate) fn penalize(&mut self, id: &ServerId) {
         if let Some(server) = self.servers.get_mut(id) {
-            server.slowness = blend(0.0, STRAGGLER_RATIO * 2.0);
+            server.observed = (server.predicted + PRIOR_S) * STRAGGLER_RATIO * 2.0;
         }
     }
 
--- a/crates/broker/src/queue.rs
+++ b/crates/broker/src/queue.rs
@@ -1,4 +1,4 @@
-//! Waiting tickets, by tier and then by fair share between accounts.
+//! Waiting tickets: by tier, then by turns between accounts, then short work first.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
@@ -6,8 +6,16 @@
 
 use crate::action::Offer;
 
-/// Place in a tier's order: virtual finish time, then order of arrival.
-type Place = (u64, u64);
+/// Classes of predicted work, each twice as long as the one before.
+const CLASSES: usize = 16;
+/// Predicted work of the shortest class in seconds.
+const SHORTEST_S: f64 = 0.004;
+
+/// Place within an account's tickets: class of work, then order of arrival.
+///
+/// Short work goes first because deadlines are per request: with more work than capacity, the
+/// requests that are served in time are the most when the long ones are those that are not.
+type Place = (usize, u64);
 
 /// A waiting ticket.
 #[derive(Debug)]
@@ -17,23 +25,40 @@
     pub(crate) latest: Time,
     /// Predicted seconds of service.
     pub(crate) work: f64,
+    /// How often another ticket was granted although this one was first.
+    pub(crate) skips: u32,
+    flow: AccountName,
     place: Place,
 }
 
-/// Virtual time of one account in one tier.
+/// One account's tickets in one tier.
 #[derive(Debug, Default)]
 struct Flow {
-    finish: u64,
-    waiting: usize,
+    /// Tokens granted to the account; the account with the fewest is next.
+    served: u64,
+    order: BTreeMap<Place, RequestId>,
 }
 
 #[derive(Debug, Default)]
 struct Lane {
-    order: BTreeMap<Place, RequestId>,
     flows: HashMap<AccountName, Flow>,
-    /// Virtual finish time of the ticket that left last.
+    turns: BTreeSet<(u64, AccountName)>,
+    /// Tokens granted to the account that had the last turn; a new account starts from here.
     clock: u64,
-    work: f64,
+    /// Predicted seconds of service that wait, by class.
+    work: [f64; CLASSES],
+}
+
+impl Lane {
+    fn first_flow(&self) -> Option<&Flow> {
+        let (_, account) = self.turns.first()?;
+        self.flows.get(account)
+    }
+
+    fn last_flow(&self) -> Option<&Flow> {
+        let (_, account) = self.turns.last()?;
+        self.flows.get(account)
+    }
 }
 
 /// The queue of one broker. Every operation costs at most the logarithm of its length.
@@ -47,6 +72,7 @@
 }
 
 impl Queue {
+    /// An empty queue; if it is not ordered, first come first served.
     pub(crate) fn new(ordered: bool) -> Self {
         Self {
             lanes: Default::default(),
@@ -65,38 +91,61 @@
         self.waiting.contains_key(&request)
     }
 
-    /// Adds a ticket behind those of its account, interleaved with other accounts by length.
+    /// Adds a ticket.
     pub(crate) fn push(&mut self, offer: Offer, latest: Time, work: f64) {
         self.arrivals += 1;
         let request = offer.ticket.request;
+        let class = if self.ordered { class_of(work) } else { 0 };
+        let place = (class, self.arrivals);
+        let account = self.flow_of(&offer);
         let lane = &mut self.lanes[lane_of(self.ordered, offer.ticket.tier)];
-        let flow = lane.flows.entry(offer.ticket.account.clone()).or_default();
-        let finish = if self.ordered {
-            flow.finish.max(lane.clock).saturating_add(offer.ticket.tokens().max(1))
-        } else {
-            0
-        };
-        flow.finish = finish;
-        flow.waiting += 1;
-        let place = (finish, self.arrivals);
-        lane.order.insert(place, request);
-        lane.work += work;
+        let clock = lane.clock;
+        let flow = lane
+            .flows
+            .entry(account.clone())
+            .or_insert_with(|| Flow { served: clock, order: BTreeMap::new() });
+        lane.turns.insert((flow.served, account.clone()));
+        flow.order.insert(place, request);
+        lane.work[class] += work;
         self.expiry.insert((latest, request));
-        let old = self.waiting.insert(request, Waiting { offer, latest, work, place });
+        let waiting = Waiting { offer, latest, work, skips: 0, flow: account, place };
+        let old = self.waiting.insert(request, waiting);
         debug_assert!(old.is_none(), "a request waits at most once");
     }
 
-    /// The ticket to be granted next.
+    /// The account whose turns a ticket takes; one for all if the queue is not ordered.
+    fn flow_of(&self, offer: &Offer) -> AccountName {
+        let any = self.waiting.values().next().map(|w| w.flow.clone());
+        match any {
+            Some(flow) if !self.ordered => flow,
+            _ => offer.ticket.account.clone(),
+        }
+    }
+
+    /// The ticket that is first in order.
     pub(crate) fn head(&self) -> Option<&Waiting> {
-        let lane = self.lanes.iter().find(|l| !l.order.is_empty())?;
-        let (_, request) = lane.order.first_key_value()?;
-        self.waiting.get(request)
+        self.first_few(1).next()
+    }
+
+    /// The first tickets of the account whose turn it is, in the highest tier that waits.
+    pub(crate) fn first_few(&self, n: usize) -> impl Iterator<Item = &Waiting> {
+        let lane = self.lanes.iter().find(|l| !l.turns.is_empty());
+        let flow = lane.and_then(Lane::first_flow);
+        let requests = flow.into_iter().flat_map(move |f| f.order.values().take(n));
+        requests.filter_map(|r| self.waiting.get(r))
+    }
+
+    /// Notes that a ticket was passed over.
+    pub(crate) fn skip(&mut self, request: RequestId) {
+        if let Some(waiting) = self.waiting.get_mut(&request) {
+            waiting.skips += 1;
+        }
     }
 
-    /// The newest ticket of the lowest tier that is queued.
+    /// The longest, newest ticket of the lowest tier that is queued.
     pub(crate) fn last(&self) -> Option<RequestId> {
-        let lane = self.lanes.iter().rev().find(|l| !l.order.is_empty())?;
-        lane.order.last_key_value().map(|(_, request)| *request)
+        let lane = self.lanes.iter().rev().find(|l| !l.turns.is_empty())?;
+        lane.last_flow()?.order.last_key_value().map(|(_, request)| *request)
     }
 
     /// The lowest tier that has a ticket queued.
@@ -104,28 +153,38 @@
         self.last().and_then(|r| self.waiting.get(&r)).map(|w| w.offer.ticket.tier)
     }
 
-    /// Takes a ticket out.
+    /// Takes a ticket out that will not be granted.
     pub(crate) fn remove(&mut self, request: RequestId) -> Option<Waiting> {
+        self.take(request, false)
+    }
+
+    /// Takes a ticket out that is granted, and charges its account.
+    pub(crate) fn grant(&mut self, request: RequestId) -> Option<Waiting> {
+        self.take(request, true)
+    }
+
+    fn take(&mut self, request: RequestId, charge: bool) -> Option<Waiting> {
         let waiting = self.waiting.remove(&request)?;
         self.expiry.remove(&(waiting.latest, request));
         let lane = &mut self.lanes[lane_of(self.ordered, waiting.offer.ticket.tier)];
-        lane.order.remove(&waiting.place);
-        lane.work = if lane.order.is_empty() { 0.0 } else { lane.work - waiting.work };
-        if let Some(flow) = lane.flows.get_mut(&waiting.offer.ticket.account) {
-            flow.waiting -= 1;
-            if flow.waiting == 0 {
-                lane.flows.remove(&waiting.offer.ticket.account);
-            }
+        let work = &mut lane.work[waiting.place.0];
+        *work = (*work - waiting.work).max(0.0);
+        let flow = lane.flows.get_mut(&waiting.flow)?;
+        flow.order.remove(&waiting.place);
+        lane.turns.remove(&(flow.served, waiting.flow.clone()));
+        if charge {
+            lane.clock = lane.clock.max(flow.served);
+            flow.served = flow.served.saturating_add(waiting.offer.ticket.tokens().max(1));
+        }
+        if flow.order.is_empty() {
+            lane.flows.remove(&waiting.flow);
+        } else {
+            lane.turns.insert((flow.served, waiting.flow.clone()));
+        }
+        if lane.turns.is_empty() {
+            // Ends the drift of sums of floating-point numbers.
+            lane.work = [0.0; CLASSES];
         }
-        Some(waiting)
-    }
-
-    /// Takes out the ticket to be granted next.
-    pub(crate) fn pop(&mut self) -> Option<Waiting> {
-        let request = self.head()?.offer.ticket.request;
-        let waiting = self.remove(request)?;
-        let lane = &mut self.lanes[lane_of(self.ordered, waiting.offer.ticket.tier)];
-        lane.clock = lane.clock.max(waiting.place.0);
         Some(waiting)
     }
 
@@ -135,10 +194,13 @@
         (*latest <= now).then_some(*request)
     }
 
-    /// Predicted seconds of service of all tickets granted before a new one of `tier`.
-    pub(crate) fn work_before(&self, tier: Tier) -> f64 {
+    /// Predicted seconds of service of the tickets that are granted before a new one of `tier`
+    /// with this much work.
+    pub(crate) fn work_before(&self, tier: Tier, work: f64) -> f64 {
         let end = lane_of(self.ordered, tier);
-        self.lanes[..=end].iter().map(|l| l.work.max(0.0)).sum()
+        let higher: f64 = self.lanes[..end].iter().flat_map(|l| l.work).sum();
+        let class = if self.ordered { class_of(work) } else { 0 };
+        higher + self.lanes[end].work[..=class].iter().sum::<f64>()
     }
 
     /// Requests that this entry VM owns.
@@ -156,3 +218,8 @@
 fn lane_of(ordered: bool, tier: Tier) -> usize {
     if ordered { tier.index() } else { 0 }
 }
+
+#[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "`as` saturates")]
+fn class_of(work: f64) -> usize {
+    ((work / SHORTEST_S).max(1.0).log2() as usize).min(CLASSES - 1)
+}
--- a/crates/broker/tests/properties.rs
+++ b/crates/broker/tests/properties.rs
@@ -102,6 +102,7 @@
         fencing: Fencing::Ignores,
         ttl: Span::from_millis(ttl_ms),
         load: 0,
+        prefixes: None,
     }
 }
 
--- a/crates/control/src/machine.rs
+++ b/crates/control/src/machine.rs
@@ -219,7 +219,9 @@
             Message::Grant { request, server, address } => {
                 self.on_grant(from, request, server, address);
             }
-            Message::Decline { request, reason } => self.on_decline(from, request, reason),
+            Message::Decline { request, reason, wait } => {
+                self.on_decline(from, request, reason, wait);
+            }
             Message::Revoke { request } => self.on_revoke(request),
             Message::Announce { announcement } => {
                 let mut actions = Vec::new();
--- a/crates/control/src/requests.rs
+++ b/crates/control/src/requests.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use model::{RequestId, ServerId, Ticket, Time, VmName, ZoneName};
+use model::{RequestId, ServerId, Span, Ticket, Time, VmName, ZoneName};
 
 /// Where a request's ticket is.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -26,6 +26,8 @@
     pub(crate) urgent: bool,
     /// Zones that declined in this round.
     pub(crate) tried: BTreeSet<ZoneName>,
+    /// How long a ticket was predicted to wait in zones that declined it.
+    pub(crate) waits: BTreeMap<ZoneName, Span>,
     /// Whether any zone declined for want of capacity.
     pub(crate) shed: bool,
 }
--- a/crates/control/src/router.rs
+++ b/crates/control/src/router.rs
@@ -83,7 +83,7 @@
             route.broker = self.members.broker(&zone, &ticket.service);
             route.zone = Some(zone);
         } else if !route.tried.is_empty() && route.shed && !route.urgent {
-            route = Route { urgent: true, shed: true, ..Route::default() };
+            route = Route { urgent: true, shed: true, waits: route.waits, ..Route::default() };
             self.set_route(request, route);
             self.ask_broker(request);
             return;
@@ -110,15 +110,22 @@
         }
     }
 
-    /// The first zone, own zone first, that was not tried and has a VM that can broker.
+    /// The next zone that was not tried and has a VM that can broker: the one that predicted the
+    /// shortest wait, then the own zone, then the others.
     fn next_zone(&self, service: &ServiceName, route: &Route) -> Option<ZoneName> {
-        let own = self.members.zone.clone();
-        let others = self.members.zones().into_iter().filter(|z| *z != own);
-        let mut zones = std::iter::once(own.clone()).chain(others);
-        zones.find(|z| !route.tried.contains(z) && self.members.broker(z, service).is_some())
+        let open =
+            |z: &ZoneName| !route.tried.contains(z) && self.members.broker(z, service).is_some();
+        let zones = self.members.zones().into_iter().filter(open);
+        zones.min_by_key(|z| (route.waits.get(z).copied(), *z != self.members.zone))
     }
 
-    pub(crate) fn on_decline(&mut self, from: &VmName, request: RequestId, reason: RefusalReason) {
+    pub(crate) fn on_decline(
+        &mut self,
+        from: &VmName,
+        request: RequestId,
+        reason: RefusalReason,
+        wait: Span,
+    ) {
         let Some(open) = self.requests.get_mut(request) else {
             return;
         };
@@ -135,7 +142,10 @@
         }
         // A deadline that became infeasible by waiting was missed for want of capacity.
         route.shed |= reason != RefusalReason::NoServer;
-        route.tried.extend(route.zone.take());
+        if let Some(zone) = route.zone.take() {
+            route.waits.insert(zone.clone(), wait);
+            route.tried.insert(zone);
+        }
         self.out.push(Output::Retried { reason: RetryReason::NextZone });
         self.ask_broker(request);
     }
@@ -357,8 +367,8 @@
                 Action::Grant { request, owner, server, address } => {
                     (owner, Message::Grant { request, server, address })
                 }
-                Action::Decline { request, owner, reason } => {
-                    (owner, Message::Decline { request, reason })
+                Action::Decline { request, owner, reason, wait } => {
+                    (owner, Message::Decline { request, reason, wait })
                 }
                 Action::Revoke { request, owner } => (owner, Message::Revoke { request }),
             };
--- a/crates/control/src/wire.rs
+++ b/crates/control/src/wire.rs
@@ -166,6 +166,9 @@
         request: RequestId,
         /// Why.
         reason: RefusalReason,
+        /// How long it was predicted to wait there.
+        #[serde(default)]
+        wait: Span,
     },
     /// Cancel the running request.
     Revoke {
--- a/crates/control/tests/random.rs
+++ b/crates/control/tests/random.rs
@@ -333,6 +333,7 @@
                 fencing: Fencing::Ignores,
                 ttl: Span::from_millis(1_500),
                 load: 0,
+                prefixes: None,
             };
             self.input(at, Input::Announce { announcement, zone: None });
         }
--- a/crates/lab/src/decide.rs
+++ b/crates/lab/src/decide.rs
@@ -29,6 +29,7 @@
         fencing: Fencing::Ignores,
         ttl: Span::from_secs(1_000_000),
         load: 0,
+        prefixes: None,
     }
 }
 
--- a/crates/lab/src/measure.rs
+++ b/crates/lab/src/measure.rs
@@ -4,6 +4,7 @@
 
 use fuchsiausher::{Balancer, Bed, Hit, Policy, ShotKind, check_promises, fire};
 use hdrhistogram::Histogram;
+use model::RefusalReason;
 use pico_args::Arguments;
 use serde_json::{Value, json};
 use stand::Totals;
@@ -11,6 +12,8 @@
 
 use crate::{block_on, experiment::Experiment, idle::cpu_s, table};
 
+/// Longest time that is told apart, in microseconds.
+const MAX_US: u64 = 300_000_000;
 /// Tiers.
 const TIERS: u8 = 5;
 
@@ -28,6 +31,8 @@
     gap: Histogram<u64>,
     broken: Vec<String>,
     cpu: f64,
+    /// Requests cancelled while they ran, for a higher tier.
+    preempted: usize,
 }
 
 pub(crate) fn run(args: &mut Arguments) -> Result<(), String> {
@@ -120,7 +125,7 @@
     broken: Vec<String>,
     cpu: f64,
 ) -> Result<Found, String> {
-    let histogram = || Histogram::<u64>::new(3).map_err(|e| e.to_string());
+    let histogram = || Histogram::<u64>::new_with_max(MAX_US, 3).map_err(|e| e.to_string());
     let (mut first, mut top_first, mut gap) = (histogram()?, histogram()?, histogram()?);
     let mut tiers = vec![(0, 0); usize::from(TIERS)];
     let us = |d: Duration| u64::try_from(d.as_micros()).unwrap_or(u64::MAX);
@@ -158,6 +163,10 @@
         gap,
         broken,
         cpu,
+        preempted: hits
+            .iter()
+            .filter(|h| matches!(h.failure, Some((RefusalReason::Preempted, _))))
+            .count(),
     })
 }
 
@@ -181,6 +190,7 @@
         "gap_ms": { "p50": ms(&found.gap, 0.5), "p95": ms(&found.gap, 0.95) },
         "promises_broken": found.broken,
         "cpu_s": found.cpu,
+        "preempted": found.preempted,
     })
 }
 
@@ -202,6 +212,7 @@
                 format!("{:.0}", ms(&f.first, 0.99)),
                 format!("{:.0}", ms(&f.top_first, 0.99)),
                 format!("{:.1}", ms(&f.gap, 0.95)),
+                f.preempted.to_string(),
                 f.broken.len().to_string(),
                 format!("{:.1}", f.cpu),
             ]);
@@ -224,6 +235,7 @@
             "p99",
             "tier 0 p99",
             "gap p95 ms",
+            "preempted",
             "promises broken",
             "cpu s",
         ],
--- a/crates/model/src/server.rs
+++ b/crates/model/src/server.rs
@@ -60,6 +60,9 @@
     /// Requests in progress when the report was made.
     #[serde(default)]
     pub load: u64,
+    /// Prompt prefixes that its cache holds, if it says so.
+    #[serde(default)]
+    pub prefixes: Option<u32>,
 }
 
 /// A checked announcement.
@@ -83,6 +86,8 @@
     pub ttl: Span,
     /// Requests in progress when the report was made.
     pub load: u32,
+    /// Prompt prefixes that its cache holds, if it says so.
+    pub prefixes: Option<u32>,
 }
 
 impl TryFrom<RawAnnouncement> for Announcement {
@@ -102,6 +107,7 @@
             fencing: raw.fencing,
             ttl: Span::from_millis(u64::from(ttl)),
             load: u32::try_from(raw.load).unwrap_or(u32::MAX),
+            prefixes: raw.prefixes,
         })
     }
 }
--- a/crates/stand/src/announce.rs
+++ b/crates/stand/src/announce.rs
@@ -39,6 +39,7 @@
                 "ttl_ms": TTL_MS,
                 "load": reported,
                 "zone": config.zone,
+                "prefixes": config.cache,
             });
             reported = shared.stats.running();
             let body = value.to_string().into_bytes();
