--- a/crates/control/src/event.rs
+++ b/crates/control/src/event.rs
@@ -1,6 +1,6 @@
 //! Inputs and outputs of the machine.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
 
 use model::{
     Announcement, Catalogue, Duty, EditOutcome, Mark, Outcome, RefusalReason, RequestId,
@@ -8,7 +8,7 @@
 };
 use raft::Persist;
 use serde::{Deserialize, Serialize};
-use state::{ClaimOutcome, Command, Revision};
+use state::{ClaimOutcome, Command, Placed, Placement, Revision};
 
 use crate::{contact::Contact, status::Status, wire::Message};
 
@@ -102,6 +102,15 @@
         /// Its number.
         id: u64,
     },
+    /// What became of an order in [`Output::Order`].
+    Ordered {
+        /// The server.
+        server: ServerId,
+        /// The order's fencing number.
+        fence: u64,
+        /// Whether the server took it; if not, it is given again with a new number.
+        taken: bool,
+    },
     /// This VM stops: take no new roles and hand over those held.
     Drain,
     /// An operator asks for the state of this VM.
@@ -109,6 +118,11 @@
         /// Number to answer to.
         call: u64,
     },
+    /// An operator asks for all placements.
+    Placements {
+        /// Number to answer to.
+        call: u64,
+    },
     /// An operator asks where a request is.
     Find {
         /// Number to answer to.
@@ -160,6 +174,8 @@
         /// What to write.
         persist: Persist,
     },
+    /// Give an order to a backend server; abandon it when its time is over.
+    Order(Order),
     /// Answer an operator's or an internal call.
     Reply {
         /// The call's number.
@@ -178,6 +194,21 @@
     Log(Change),
 }
 
+/// An order to a backend server.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Order {
+    /// The server.
+    pub server: ServerId,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Fencing number, larger than that of every earlier order to any server.
+    pub fence: u64,
+    /// What the server shall run.
+    pub placement: Placement,
+    /// Time in which the order must be taken: it ends within the lease of the leader that gave it.
+    pub timeout: Span,
+}
+
 /// What every request needs of the control state.
 #[derive(Clone, Debug)]
 pub struct Published {
@@ -205,6 +236,13 @@
     Claim(ClaimOutcome),
     /// Of a command without an outcome.
     Done,
+    /// Of a placement: its version.
+    Placed {
+        /// Version of the placement.
+        version: u64,
+    },
+    /// All placements.
+    Placements(BTreeMap<ServerId, Placed>),
     /// Reserved fencing numbers, from the first up to but without the second.
     Fence(u64, u64),
     /// The command certainly was not taken.
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -41,11 +41,13 @@
 mod ended;
 mod event;
 mod forming;
+mod giving;
 mod homes;
 mod machine;
 mod marks;
 mod members;
 mod membership;
+mod orders;
 mod proposals;
 mod replicate;
 mod report;
@@ -61,7 +63,7 @@
 
 pub use crate::{
     contact::{Act, Contact, allowed},
-    event::{Answer, Change, Clock, Input, Output, Published},
+    event::{Answer, Change, Clock, Input, Order, Output, Published},
     machine::Machine,
     members::HEARTBEAT,
     setup::{PeerSetup, Setup},
--- a/crates/control/src/machine.rs
+++ b/crates/control/src/machine.rs
@@ -13,6 +13,7 @@
     homes::Homes,
     marks::Marks,
     members::Members,
+    orders::Orders,
     proposals::{Ask, Proposals},
     requests::Requests,
     setup::Setup,
@@ -41,6 +42,8 @@
     pub(crate) homes: Homes,
     pub(crate) proposals: Proposals,
     pub(crate) replacement: Option<Replacement>,
+    pub(crate) orders: Orders,
+    pub(crate) last_fence: u64,
     pub(crate) contact: Contact,
     pub(crate) published: Option<(u64, bool, Contact)>,
     pub(crate) leader: Option<VmName>,
@@ -73,6 +76,8 @@
             homes: Homes::default(),
             proposals: Proposals::default(),
             replacement: None,
+            orders: Orders::default(),
+            last_fence: 0,
             contact: Contact::Alone,
             published: None,
             leader: None,
@@ -113,6 +118,7 @@
             Input::Abandon { request } => self.on_abandon(request),
             Input::Announce { announcement, zone } => {
                 let zone = zone.unwrap_or_else(|| self.members.zone.clone());
+                self.report_seen(&announcement);
                 self.brokers.hear(self.clock.now, announcement.clone(), zone.clone());
                 if let Some(broker) = self.members.broker(&zone, &announcement.service) {
                     self.send(broker, Message::Announce { announcement });
@@ -126,6 +132,11 @@
                 let messages = self.shared.persisted(id);
                 self.send_raft(messages);
             }
+            Input::Ordered { server, fence, taken } => self.on_ordered(&server, fence, taken),
+            Input::Placements { call } => {
+                let answer = Answer::Placements(self.shared.state().placements().clone());
+                self.out.push(Output::Reply { call, answer });
+            }
             Input::Drain => self.drain(),
             Input::Status { call } => {
                 let answer = Answer::Status(Box::new(self.status()));
@@ -228,6 +239,7 @@
                 self.brokers.announce(now, announcement, &self.marks, &mut actions);
                 self.act(actions);
             }
+            Message::Seen { announcement } => self.on_seen(announcement),
             Message::Marks { token, marks } => self.on_marks(from, token, marks),
             Message::MarksHeld { token } => self.marks.confirm(token, from),
         }
@@ -253,6 +265,7 @@
         self.homes.tick(now);
         self.tick_marks();
         self.tick_proposals();
+        self.tick_orders();
     }
 
     pub(crate) fn publish(&mut self) {
--- a/crates/control/src/proposals.rs
+++ b/crates/control/src/proposals.rs
@@ -116,6 +116,10 @@
             }
             Response::Claim(outcome) => Answer::Claim(outcome),
             Response::Fence(start, end) => Answer::Fence(start, end),
+            Response::Placed(Ok(version)) => Answer::Placed { version },
+            Response::Placed(Err(current)) => {
+                Answer::Refused { why: format!("the placement in force has version {current}") }
+            }
             Response::Done => Answer::Done,
         };
         Some((call, answer))
--- a/crates/control/src/replicate.rs
+++ b/crates/control/src/replicate.rs
@@ -1,10 +1,11 @@
 //! Commands, reads and voter changes on their way through the replicated log.
 
 use model::{EditOutcome, Invariant, VmName, ZoneName};
-use state::Command;
+use state::{Command, Response};
 
 use crate::{
     event::{Answer, Change, Clock, Output},
+    giving::FENCE_TOKEN,
     machine::Machine,
     proposals::{Ask, RESEND_AFTER},
     voters::{Replacement, Step},
@@ -147,11 +148,14 @@
             }
         }
         for applied in flush.applied {
-            if applied.origin == self.members.me
-                && applied.incarnation == self.incarnation
-                && let Some((call, answer)) =
-                    self.proposals.applied(now, applied.token, applied.response)
-            {
+            if applied.origin != self.members.me || applied.incarnation != self.incarnation {
+                continue;
+            }
+            if let (FENCE_TOKEN, Response::Fence(start, end)) = (applied.token, &applied.response) {
+                self.on_numbers(*start, *end);
+            }
+            let answer = self.proposals.applied(now, applied.token, applied.response);
+            if let Some((call, answer)) = answer {
                 self.out.push(Output::Reply { call, answer });
             }
         }
--- a/crates/control/src/wire.rs
+++ b/crates/control/src/wire.rs
@@ -180,6 +180,11 @@
         /// The announcement; its time to live counts from now.
         announcement: Announcement,
     },
+    /// A placed backend server announced itself; for the leader, which gives it orders.
+    Seen {
+        /// The announcement; its time to live counts from now.
+        announcement: Announcement,
+    },
     /// Operators' declarations about backend servers.
     Marks {
         /// Number to confirm, if the sender waits for it.
--- a/crates/control/tests/random.rs
+++ b/crates/control/tests/random.rs
@@ -15,7 +15,7 @@
 };
 use raft::{Member, Persist, Stored};
 use rand::{Rng, SeedableRng, rngs::StdRng};
-use state::{ClaimKey, ClaimOutcome, Command};
+use state::{ClaimKey, ClaimOutcome, Command, Placement};
 
 const ZONES: [&str; 4] = ["zone-a", "zone-b", "zone-c", "zone-a"];
 const VMS: usize = ZONES.len();
@@ -43,6 +43,7 @@
     Edit(EditId),
     Claim(ClaimKey),
     Mark(ServerId),
+    Place(ServerId),
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -64,6 +65,12 @@
     keys: BTreeMap<ClaimKey, u32>,
     accepted: BTreeMap<EditId, u64>,
     left: BTreeMap<ServerId, u64>,
+    /// Orders on their way: when they arrive, from whom, to which server, with which number.
+    orders: Vec<(u64, usize, ServerId, u64)>,
+    /// Newest number that reached each server; the servers ignore the numbers.
+    fences: BTreeMap<ServerId, u64>,
+    /// Newest version of each placement that an operator was told.
+    placed: BTreeMap<ServerId, u64>,
     next: u64,
     faults: bool,
     loaded: bool,
@@ -116,6 +123,9 @@
             keys: BTreeMap::new(),
             accepted: BTreeMap::new(),
             left: BTreeMap::new(),
+            orders: Vec::new(),
+            fences: BTreeMap::new(),
+            placed: BTreeMap::new(),
             next: 1,
             faults: false,
             loaded: true,
@@ -193,6 +203,11 @@
             Output::Persist { id, cluster, persist } => {
                 self.vms[at].writes.push_back((id, cluster, persist));
             }
+            Output::Order(order) => {
+                // It is taken at any moment before its time is over.
+                let arrives = self.now + self.rng.random_range(0..order.timeout.as_millis());
+                self.orders.push((arrives, at, order.server, order.fence));
+            }
             Output::Reply { call, answer } => self.answered(at, call, answer),
             Output::Publish(published) => {
                 let revision = published.catalogue.revision();
@@ -252,6 +267,15 @@
             {
                 self.left.entry(server).or_insert(self.now);
             }
+            (Some(Call::Place(server)), Answer::Placed { version }) => {
+                let newest = self.placed.entry(server).or_default();
+                *newest = version.max(*newest);
+            }
+            (Some(Call::Place(server)), Answer::Refused { why }) => {
+                // The operator looks again: the refusal names the version in force.
+                let version = why.rsplit(' ').next().and_then(|v| v.parse().ok()).unwrap_or(0);
+                self.placed.insert(server, version);
+            }
             _ => {}
         }
     }
@@ -264,6 +288,7 @@
             self.input(at, Input::Tick);
         }
         self.finish();
+        self.take_orders();
         self.announce();
         if self.loaded {
             self.load();
@@ -314,6 +339,19 @@
         }
     }
 
+    fn take_orders(&mut self) {
+        let now = self.now;
+        let (due, rest): (Vec<_>, Vec<_>) = self.orders.drain(..).partition(|o| o.0 <= now);
+        self.orders = rest;
+        for (_, at, server, fence) in due {
+            let newest = self.fences.entry(server.clone()).or_default();
+            assert!(fence > *newest, "an old giver's order came after a new giver's first");
+            *newest = fence;
+            let taken = self.rng.random_bool(0.7);
+            self.input(at, Input::Ordered { server, fence, taken });
+        }
+    }
+
     /// Two servers in each zone announce themselves to an entry VM of their zone.
     fn announce(&mut self) {
         if !(self.now / STEP_MS).is_multiple_of(30) {
@@ -370,6 +408,19 @@
                 let command = Command::Claim { key, request, owner: name(at) };
                 self.input(at, Input::Propose { call: n, command });
             }
+            12 => {
+                let placement = Placement {
+                    model: format!("model-{n}").into(),
+                    adapter: None,
+                    version: "1".into(),
+                    role: "decode".into(),
+                };
+                let server = server(n % 6);
+                let base = self.placed.get(&server).copied().unwrap_or(0);
+                self.vms[at].calls.insert(n, Call::Place(server.clone()));
+                let command = Command::Place { server, placement: Some(placement), base };
+                self.input(at, Input::Propose { call: n, command });
+            }
             11 if self.faults && self.left.len() < 3 && self.rng.random_bool(0.05) => {
                 let server = server(self.rng.random_range(0..3));
                 self.vms[at].calls.insert(n, Call::Mark(server.clone()));
@@ -490,6 +541,7 @@
             }
             world.settle();
             let ended = world.fates.values().filter(|f| f.2 == Fate::Ended).count();
+            assert!(!world.fences.is_empty(), "orders reached servers");
             (ended, world.accepted.len(), world.keys.len())
         });
         let (g, a, k) = result.unwrap_or_else(|_| panic!("seed {seed}"));
--- a/crates/driver/src/thread.rs
+++ b/crates/driver/src/thread.rs
@@ -9,10 +9,10 @@
 };
 
 use arc_swap::ArcSwap;
-use control::{Change, Clock, Contact, Input, Machine, Message, Output, Published, Setup};
+use control::{Change, Clock, Contact, Input, Machine, Message, Order, Output, Published, Setup};
 use meters::{Meters, Op};
 use model::{Catalogue, Outcome, RequestId, Time, VmName};
-use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 
 use crate::{
     disk::{self, Disk, Write},
@@ -39,12 +39,13 @@
     calls: Arc<Calls>,
     meters: Arc<Meters>,
     events: HashMap<RequestId, UnboundedSender<Event>>,
+    orders: UnboundedSender<Order>,
     out: Vec<Output>,
 }
 
 /// Starts the control thread and the disk thread.
 ///
-/// `failed` is called when a write of the replicated log fails; the process must end then.
+/// Orders to backend servers come out of the receiver. `failed` is called when a write of the replicated log fails; the process must end then.
 ///
 /// # Errors
 ///
@@ -55,7 +56,7 @@
     disk: D,
     meters: Arc<Meters>,
     failed: impl Fn(String) + Send + 'static,
-) -> io::Result<Handle> {
+) -> io::Result<(Handle, UnboundedReceiver<Order>)> {
     let (work, inbox) = mpsc::channel();
     let published = Arc::new(ArcSwap::from_pointee(Published {
         catalogue: Arc::new(Catalogue::default()),
@@ -63,6 +64,7 @@
         contact: Contact::Alone,
     }));
     let calls = Arc::new(Calls::default());
+    let (orders, given) = unbounded_channel();
     let done = work.clone();
     let synced = move |id| {
         // After the control thread ended nobody waits for writes.
@@ -77,10 +79,11 @@
         calls: Arc::clone(&calls),
         meters,
         events: HashMap::new(),
+        orders,
         out: Vec::new(),
     };
     thread::Builder::new().name("control".into()).spawn(move || control.run(&inbox))?;
-    Ok(Handle { work, published, calls })
+    Ok((Handle { work, published, calls }, given))
 }
 
 impl<O: Outbox> Control<O> {
@@ -167,6 +170,10 @@
                 // A disk thread that ended has reported its failure, which ends the process.
                 let _ = self.writes.send(Write { id, cluster, persist });
             }
+            Output::Order(order) => {
+                // Nobody receives orders any more only when the process stops.
+                let _ = self.orders.send(order);
+            }
             Output::Reply { call, answer } => self.calls.answer(call, answer),
             Output::Publish(published) => self.published.store(Arc::new(published)),
             Output::Retried { reason } => self.meters.retried(reason),
--- a/crates/entry/src/admin.rs
+++ b/crates/entry/src/admin.rs
@@ -20,7 +20,7 @@
 use peer::{Question, Reply};
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
-use state::Command;
+use state::{Command, Placement};
 
 use crate::{
     app::App,
@@ -102,6 +102,15 @@
     since: Option<u64>,
 }
 
+/// A placement as received; without a model, the server is forgotten.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RawPlacement {
+    base: u64,
+    #[serde(default)]
+    placement: Option<Placement>,
+}
+
 /// A refused administrative call.
 struct Refused(StatusCode, String);
 
@@ -132,6 +141,8 @@
         route.get("/refusals").with_query_string_extractor::<RefusalsQuery>().to_async(refusals);
         route.get("/requests/:id").with_path_extractor::<IdPath>().to_async(request);
         route.post("/voters/replace").to_async(replace_voter);
+        route.get("/placements").to_async(placements);
+        route.post("/placements/:id").with_path_extractor::<IdPath>().to_async(place);
     })
 }
 
@@ -180,6 +191,8 @@
 handler!(refusals, admin_secret, get_refusals);
 handler!(request, admin_secret, get_request);
 handler!(replace_voter, admin_secret, take_replacement);
+handler!(placements, admin_secret, get_placements);
+handler!(place, admin_secret, take_placement);
 
 /// Compares in time that does not depend on where the secrets differ.
 fn check_secret(headers: &HeaderMap, secret: &str) -> Result<(), Refused> {
@@ -350,3 +363,25 @@
         _ => Err(no_quorum()),
     }
 }
+
+async fn get_placements(app: &App, _: &mut State) -> Answered {
+    match app.config.handle.call(|call| Input::Placements { call }).await {
+        Answer::Placements(placements) => Ok(ok(&json!({ "placements": placements }))),
+        _ => Err(Refused(StatusCode::SERVICE_UNAVAILABLE, "this VM is stopping".into())),
+    }
+}
+
+async fn take_placement(app: &App, state: &mut State) -> Answered {
+    let RawPlacement { base, placement } = read(state).await?;
+    let server = ServerId::try_from(IdPath::take_from(state).id).map_err(Refused::bad)?;
+    let command = Command::Place { server, placement, base };
+    match app.config.handle.call(|call| Input::Propose { call, command }).await {
+        Answer::Placed { version } => Ok(ok(&json!({ "version": version }))),
+        Answer::Refused { why } => Err(Refused(StatusCode::CONFLICT, why)),
+        Answer::Unknown => Err(Refused(
+            StatusCode::GATEWAY_TIMEOUT,
+            "it is unknown whether the placement was accepted; look before trying again".into(),
+        )),
+        _ => Err(no_quorum()),
+    }
+}
--- a/crates/fuchsiausher/src/bed.rs
+++ b/crates/fuchsiausher/src/bed.rs
@@ -12,6 +12,7 @@
 use serde_json::{Value, json};
 use settings::{Peer, Secrets, Settings, Waits};
 use stand::{Announcer, Answered, CallError, Config, Holders, Pace, Role, Server, call};
+use tokio::runtime::{Builder, Runtime};
 
 use crate::{
     client::AdminClient,
@@ -23,6 +24,8 @@
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
 /// Interval at which readiness is looked at.
 const POLL: Duration = Duration::from_millis(50);
+/// Threads for the traffic of each entry VM.
+const WORKERS: usize = 2;
 /// Secret of operators on a bed.
 const ADMIN_SECRET: &str = "bed-admin-secret";
 /// Secret of backend servers on a bed.
@@ -59,6 +62,8 @@
     /// Addresses at which each VM reaches each other one instead of the real ones, as
     /// `(from, to, address)`; for links that a test cuts.
     pub detours: Vec<(usize, usize, SocketAddr)>,
+    /// Addresses at which the entry VMs listen for each other; free ones if empty.
+    pub listens: Vec<SocketAddr>,
     /// Longest wait for the head of a backend server's answer.
     pub head: Duration,
     /// Policy of the brokers.
@@ -113,6 +118,7 @@
                 .map(|t| account_entry(&format!("tier-{t}"), t, &["loom-model", "order-desk"]))
                 .collect(),
             detours: Vec::new(),
+            listens: Vec::new(),
             head: Duration::from_secs(20),
             policy: Policy::default(),
         }
@@ -131,12 +137,64 @@
     }
 }
 
+/// An entry VM of a bed, on threads of its own, so that it can be killed whole.
+#[derive(Debug)]
+pub struct BedNode {
+    node: Node,
+    runtime: Option<Runtime>,
+}
+
+impl BedNode {
+    async fn start(settings: Settings, policy: Policy) -> Result<Self, Report<Error>> {
+        let runtime = Builder::new_multi_thread()
+            .worker_threads(WORKERS)
+            .enable_all()
+            .build()
+            .change_context_lazy(|| bed_error("threads"))?;
+        let start = async move { Node::start_with(&settings, policy).await };
+        let started = runtime.spawn(start).await;
+        let node = match started.change_context_lazy(|| bed_error("an entry VM")) {
+            Ok(Ok(node)) => node,
+            Ok(Err(report)) | Err(report) => {
+                runtime.shutdown_background();
+                return Err(report);
+            }
+        };
+        Ok(Self { node, runtime: Some(runtime) })
+    }
+
+    /// Stops as planned; whether everything in flight was finished in time.
+    pub async fn stop(self) -> bool {
+        let finished = self.node.stop().await;
+        if let Some(runtime) = self.runtime {
+            runtime.shutdown_background();
+        }
+        finished
+    }
+
+    /// Dies: all its connections and tasks end at once.
+    pub fn kill(self) {
+        self.node.kill();
+        if let Some(runtime) = self.runtime {
+            runtime.shutdown_background();
+        }
+    }
+}
+
+impl std::ops::Deref for BedNode {
+    type Target = Node;
+
+    fn deref(&self) -> &Node {
+        &self.node
+    }
+}
+
 /// Running entry VMs and backend servers.
 #[derive(Debug)]
 pub struct Bed {
     config: BedConfig,
     settings: Vec<Settings>,
-    nodes: Vec<Option<Node>>,
+    nodes: Vec<Option<BedNode>>,
     /// The backend servers, in the order of their groups.
     pub servers: Vec<Server>,
     folder: PathBuf,
@@ -172,7 +230,7 @@
     ///
     /// If it cannot be started.
     pub async fn start_node(&mut self, at: usize) -> Result<(), Report<Error>> {
-        self.nodes[at] = Some(Node::start_with(&self.settings[at], self.config.policy).await?);
+        self.nodes[at] = Some(BedNode::start(self.settings[at].clone(), self.config.policy).await?);
         Ok(())
     }
 
@@ -191,6 +249,8 @@
                     pace: group.pace,
                     cache: group.cache,
                     zone: zone.clone(),
+                    // Every second one checks fencing numbers, as some deployments' engines do.
+                    checks: i % 2 == 0,
                     holders: Arc::clone(&self.holders),
                 };
                 let mut server =
@@ -212,7 +272,7 @@
 
     async fn wait_ready(&self) -> Result<(), Report<Error>> {
         let all_ready = async {
-            while !self.nodes.iter().flatten().all(Node::is_ready) {
+            while !self.nodes.iter().flatten().all(|n| n.is_ready()) {
                 tokio::time::sleep(POLL).await;
             }
         };
@@ -278,7 +338,7 @@
     /// An entry VM, if it is running.
     #[must_use]
     pub fn node(&self, at: usize) -> Option<&Node> {
-        self.nodes[at].as_ref()
+        self.nodes[at].as_deref()
     }
 
     /// Number of entry VMs, running or not.
@@ -309,7 +369,7 @@
     }
 
     /// Takes an entry VM out of the bed, to stop or kill it.
-    pub fn take_node(&mut self, at: usize) -> Option<Node> {
+    pub fn take_node(&mut self, at: usize) -> Option<BedNode> {
         self.nodes[at].take()
     }
 
@@ -327,7 +387,7 @@
 
     /// Stops all entry VMs as planned and removes their data folders.
     pub async fn stop(mut self) {
-        let nodes: Vec<Node> = self.nodes.iter_mut().filter_map(Option::take).collect();
+        let nodes: Vec<BedNode> = self.nodes.iter_mut().filter_map(Option::take).collect();
         let stops: Vec<_> = nodes.into_iter().map(|n| tokio::spawn(n.stop())).collect();
         for stop in stops {
             let _ = stop.await;
@@ -359,8 +419,9 @@
     let name = |at: usize| format!("vm-{}", at + 1);
     let vm = |at: usize| name(at).try_into().expect("a valid name");
     let zone = |at: usize| config.zones[at].clone().try_into().expect("a valid name");
+    let listen = |at: usize| config.listens.get(at).copied().unwrap_or_else(free_address);
     let addresses: Vec<[SocketAddr; 3]> =
-        config.zones.iter().map(|_| [free_address(), free_address(), free_address()]).collect();
+        (0..config.zones.len()).map(|at| [free_address(), free_address(), listen(at)]).collect();
     let address = |from: usize, to: usize| {
         let detour = config.detours.iter().find(|(f, t, _)| (*f, *t) == (from, to));
         detour.map_or(addresses[to][2], |d| d.2)
--- a/crates/fuchsiausher/src/cli.rs
+++ b/crates/fuchsiausher/src/cli.rs
@@ -94,7 +94,7 @@
         "run" => run_node(args),
         "check" => check(args),
         "demo" => run_demo(args),
-        "catalogue" | "servers" | "refusals" | "requests" | "status" | "voters" => {
+        "catalogue" | "servers" | "placements" | "refusals" | "requests" | "status" | "voters" => {
             let globals = Globals::take(args)?;
             block_on(administer(&command, args, globals))
         }
@@ -196,6 +196,7 @@
     let answer = match command {
         "catalogue" => catalogue(args, &client).await?,
         "servers" => servers(args, &client).await?,
+        "placements" => placements(args, &client).await?,
         "refusals" => refusals(args, &client).await?,
         "requests" => requests(args, &client).await?,
         "voters" => voters(args, &client).await?,
@@ -248,6 +249,24 @@
     Ok(client.post(&format!("/servers/{server}/duty"), &body).await?)
 }
 
+async fn placements(args: &mut Arguments, client: &AdminClient) -> Result<Value, Failure> {
+    let word = args::word(args, "list, set or forget")?;
+    if word == "list" {
+        args::finish(args)?;
+        return Ok(client.get("/placements").await?);
+    }
+    let base: u64 = args.value_from_str("--base").map_err(|e| usage(&e.to_string()))?;
+    let placement = match word.as_str() {
+        "set" => args::placement(args)?,
+        "forget" => Value::Null,
+        other => return Err(usage(&format!("placements {other:?}: use list, set or forget"))),
+    };
+    let server = args::word(args, "the backend server's id")?;
+    args::finish(args)?;
+    let body = json!({ "base": base, "placement": placement });
+    Ok(client.post(&format!("/placements/{server}"), &body).await?)
+}
+
 async fn refusals(args: &mut Arguments, client: &AdminClient) -> Result<Value, Failure> {
     let account: Option<String> =
         args.opt_value_from_str("--account").map_err(|e| usage(&e.to_string()))?;
--- a/crates/fuchsiausher/src/cli/args.rs
+++ b/crates/fuchsiausher/src/cli/args.rs
@@ -111,3 +111,17 @@
     let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     Ok(u64::try_from(now.saturating_sub(span).as_micros()).unwrap_or(0))
 }
+
+/// A placement from its options.
+pub(crate) fn placement(args: &mut Arguments) -> Result<Value, Failure> {
+    let value = |args: &mut Arguments, key| {
+        let value: Result<String, _> = args.value_from_str(key);
+        value.map_err(|e| usage(&e.to_string()))
+    };
+    let model = value(args, "--model")?;
+    let version = value(args, "--version")?;
+    let role = value(args, "--role")?;
+    let adapter: Option<String> =
+        args.opt_value_from_str("--adapter").map_err(|e| usage(&e.to_string()))?;
+    Ok(json!({ "model": model, "adapter": adapter, "version": version, "role": role }))
+}
--- a/crates/fuchsiausher/src/cli/help.rs
+++ b/crates/fuchsiausher/src/cli/help.rs
@@ -11,6 +11,7 @@
   demo                   four entry VMs and stand-in backend servers on loopback
   catalogue get|put|history
   servers list|leave|maintain|return
+  placements list|set|forget
   refusals               records of refusals
   requests show ID       where a request is, or how it ended
   voters list|replace    voters of the replicated log
--- a/crates/fuchsiausher/src/lib.rs
+++ b/crates/fuchsiausher/src/lib.rs
@@ -33,12 +33,13 @@
 mod links;
 mod load;
 mod node;
+mod orders;
 mod promises;
 
 pub use control::Policy;
 
 pub use crate::{
-    bed::{Bed, BedConfig, EngineGroup, account_entry, chat_body},
+    bed::{Bed, BedConfig, BedNode, EngineGroup, account_entry, chat_body},
     cli::{Exit, main},
     client::{AdminClient, AdminError},
     error::Error,
--- a/crates/fuchsiausher/src/node.rs
+++ b/crates/fuchsiausher/src/node.rs
@@ -8,7 +8,7 @@
 };
 
 use backend::{Client, Deadlines};
-use control::{Input, PeerSetup, Policy, Setup};
+use control::{Input, Order, PeerSetup, Policy, Setup};
 use driver::{Disk, Handle, NoDisk};
 use entry::{App, AppConfig};
 use error_stack::{Report, ResultExt};
@@ -17,11 +17,16 @@
 use raft::{Member, Persist};
 use settings::Settings;
 use store::{Journal, Ledger, LedgerConfig, RefusalStore};
-use tokio::{net::TcpListener, sync::watch, task::JoinHandle};
+use tokio::{
+    net::TcpListener,
+    sync::{mpsc::UnboundedReceiver, watch},
+    task::JoinHandle,
+};
 
 use crate::{
     error::{Error, ErrorKind},
     links::{LinkOutbox, LinkPeers},
+    orders::give_orders,
 };
 
 /// Time between failing the readiness check and closing the callers' listener, so that the
@@ -81,16 +86,19 @@
             Meters::new(settings.vm.as_str()).change_context(Error::from(ErrorKind::Metrics))?;
         let meters = Arc::new(meters);
         let links = links(settings, incarnation, &meters)?;
-        let (handle, ledger) = start_control(settings, (incarnation, policy), &links, &meters)?;
+        let (handle, orders, ledger) =
+            start_control(settings, (incarnation, policy), &links, &meters)?;
+        let client = Client::new(Deadlines {
+            connect: settings.waits.connect,
+            head: settings.waits.head,
+            idle: settings.waits.idle,
+        });
+        tokio::spawn(give_orders(handle.clone(), client.clone(), orders));
         let app = App::new(AppConfig {
             vm: settings.vm.clone(),
             zone: settings.zone.clone(),
             handle: handle.clone(),
-            client: Client::new(Deadlines {
-                connect: settings.waits.connect,
-                head: settings.waits.head,
-                idle: settings.waits.idle,
-            }),
+            client,
             ledger,
             meters: Arc::clone(&meters),
             peers: Box::new(LinkPeers(links)),
@@ -201,7 +209,7 @@
     (incarnation, policy): (u64, Policy),
     links: &Links,
     meters: &Arc<Meters>,
-) -> Result<(Handle, Arc<Ledger>)> {
+) -> Result<(Handle, UnboundedReceiver<Order>, Arc<Ledger>)> {
     let failed = |why: String| {
         spdlog::critical!("the replicated log cannot be written: {why}");
         // Whether the write reached the disk is unknown, and a retried sync may lie.
@@ -223,8 +231,8 @@
         let setup = setup(settings, (incarnation, policy), rand::random(), None);
         (driver::start(&setup, outbox, NoDisk, meters, failed), RefusalStore::in_memory())
     };
-    let handle = handle.change_context(Error::from(ErrorKind::Threads))?;
-    Ok((handle, Arc::new(Ledger::start(config, store, report))))
+    let (handle, orders) = handle.change_context(Error::from(ErrorKind::Threads))?;
+    Ok((handle, orders, Arc::new(Ledger::start(config, store, report))))
 }
 
 fn setup(
--- a/crates/fuchsiausher/tests/operations.rs
+++ b/crates/fuchsiausher/tests/operations.rs
@@ -160,6 +160,7 @@
         pace: Pace { prefill_us: 20, decode_us: 400_000 },
         cache: 4,
         zone: "zone-a".into(),
+        checks: false,
         holders: std::sync::Arc::default(),
     };
     let mut server = Server::start(config).await.unwrap();
--- a/crates/fuchsiausher/tests/orders.rs
+++ b/crates/fuchsiausher/tests/orders.rs
@@ -100,6 +100,7 @@
         pace: stand::Pace { prefill_us: 1, decode_us: 1_000 },
         cache: 0,
         zone: "zone-a".into(),
+        checks: false,
         holders: std::sync::Arc::default(),
     };
     let mut server = stand::Server::start(config).await.unwrap();
--- a/crates/model/src/invariant.rs
+++ b/crates/model/src/invariant.rs
@@ -45,6 +45,8 @@
     NotRunTruth = "not_run_truth",
     /// The catalogue's revision never goes back.
     RevisionOrder = "revision_order",
+    /// Fencing numbers never repeat or go back.
+    FenceOrder = "fence_order",
     /// An account never holds more than its limit at the VM that owns its limits.
     Limit = "limit",
 );
--- a/crates/raft/src/raft.rs
+++ b/crates/raft/src/raft.rs
@@ -315,6 +315,12 @@
         self.lease_start().is_some_and(|start| now < start + self.config.lease())
     }
 
+    /// What is left of this member's lease; nothing if it holds none.
+    #[must_use]
+    pub fn lease_left(&self, now: Time) -> Span {
+        self.lease_start().map_or(Span::ZERO, |start| start + self.config.lease() - now)
+    }
+
     /// Longest time for which a predecessor's lease can still hold after this member was elected.
     #[must_use]
     pub fn lease_span(&self) -> Span {
--- a/crates/stand/src/announce.rs
+++ b/crates/stand/src/announce.rs
@@ -40,6 +40,7 @@
                 "load": reported,
                 "zone": config.zone,
                 "prefixes": config.cache,
+                "fencing": if config.checks { "checks" } else { "ignores" },
             });
             reported = shared.stats.running();
             let body = value.to_string().into_bytes();
--- a/crates/stand/src/engine.rs
+++ b/crates/stand/src/engine.rs
@@ -11,7 +11,7 @@
 use futures_util::{TryStreamExt, stream};
 use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::{
-    Request, Response,
+    Request, Response, StatusCode,
     body::{Frame, Incoming},
     header,
 };
@@ -148,8 +148,12 @@
     request: Request<Incoming>,
 ) -> io::Result<Response<Body>> {
     let id = header_text(&request, "x-request-id");
+    let path = request.uri().path().to_owned();
     let body = request.into_body().collect().await.map_err(io::Error::other)?.to_bytes();
     let value: Value = serde_json::from_slice(&body).unwrap_or_default();
+    if path == "/orders" {
+        return Ok(take_order(&shared, &value));
+    }
     let work = Work::new(id, &value);
     shared.stats.run(&work.id);
     let mut running = Running::start(&shared);
@@ -172,6 +176,15 @@
     Ok(response)
 }
 
+fn take_order(shared: &Shared, value: &Value) -> Response<Body> {
+    let fence = value["fence"].as_u64().unwrap_or(0);
+    let model = value["placement"]["model"].as_str().unwrap_or_default().to_owned();
+    let taken = shared.stats.order(fence, model, shared.config.checks);
+    let mut response = Response::new(Body::new(Full::new(Bytes::new()).map_err(never)));
+    *response.status_mut() = if taken { StatusCode::ACCEPTED } else { StatusCode::CONFLICT };
+    response
+}
+
 pub(crate) fn header_text(request: &Request<Incoming>, name: &str) -> String {
     let value = request.headers().get(name).and_then(|v| v.to_str().ok());
     value.unwrap_or_default().to_owned()
--- a/crates/stand/src/lib.rs
+++ b/crates/stand/src/lib.rs
@@ -17,5 +17,5 @@
     engine::Holders,
     faults::Fault,
     server::{Config, Pace, Role, Server},
-    stats::{Stats, Totals},
+    stats::{Ordered, Stats, Totals},
 };
--- a/crates/stand/src/server.rs
+++ b/crates/stand/src/server.rs
@@ -51,6 +51,8 @@
     pub cache: usize,
     /// Its availability zone.
     pub zone: String,
+    /// Whether it refuses orders with old fencing numbers.
+    pub checks: bool,
     /// Which stand-ins hold which prefixes, shared by those that are measured together.
     pub holders: Arc<Holders>,
 }
--- a/crates/stand/src/stats.rs
+++ b/crates/stand/src/stats.rs
@@ -24,6 +24,17 @@
     pub generated: u64,
 }
 
+/// An order that reached a stand-in.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Ordered {
+    /// Its fencing number.
+    pub fence: u64,
+    /// The model to load.
+    pub model: String,
+    /// Whether it was taken.
+    pub taken: bool,
+}
+
 /// Counts what a stand-in ran.
 #[derive(Debug, Default)]
 pub struct Stats {
@@ -34,6 +45,7 @@
     pub(crate) generated: AtomicU64,
     pub(crate) running: AtomicU64,
     runs: Mutex<HashMap<String, u64>>,
+    orders: Mutex<Vec<Ordered>>,
 }
 
 impl Stats {
@@ -49,6 +61,21 @@
         self.runs.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
+    /// Takes an order, unless it has an old number and numbers are checked.
+    pub(crate) fn order(&self, fence: u64, model: String, checks: bool) -> bool {
+        let mut orders = self.orders.lock().unwrap_or_else(PoisonError::into_inner);
+        let newest = orders.iter().filter(|o| o.taken).map(|o| o.fence).max();
+        let taken = !checks || newest.is_none_or(|n| fence > n);
+        orders.push(Ordered { fence, model, taken });
+        taken
+    }
+
+    /// Orders in the order in which they came.
+    #[must_use]
+    pub fn orders(&self) -> Vec<Ordered> {
+        self.orders.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
     /// Sums so far.
     #[must_use]
     pub fn totals(&self) -> Totals {
--- a/crates/state/src/command.rs
+++ b/crates/state/src/command.rs
@@ -56,6 +56,18 @@
         server: ServerId,
         /// What it shall run; `None` forgets the server.
         placement: Option<Placement>,
+        /// Version that the operator looked at, 0 for none, so that a late copy of an earlier
+        /// command changes nothing.
+        base: u64,
+    },
+    /// Note that a server took the order for a placement.
+    Taken {
+        /// The server.
+        server: ServerId,
+        /// Version of the placement.
+        version: u64,
+        /// Fencing number of the order.
+        fence: u64,
     },
 }
 
@@ -68,6 +80,8 @@
     Claim(ClaimOutcome),
     /// Reserved fencing numbers: from the first, up to but without the second.
     Fence(u64, u64),
+    /// Of a placement: its version, or the version in force that it was not based on.
+    Placed(Result<u64, u64>),
     /// Of a command that has no other outcome.
     Done,
 }
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -27,5 +27,5 @@
     command::{Command, Response},
     edits::Revision,
     machine::{DecodeError, State},
-    place::Placement,
+    place::{Placed, Placement},
 };
--- a/crates/state/src/machine.rs
+++ b/crates/state/src/machine.rs
@@ -9,7 +9,7 @@
     claim::{Claim, ClaimKey, Claims},
     command::{Command, Response},
     edits::{Edits, Revision},
-    place::Placement,
+    place::{Placed, Placement},
 };
 
 /// First fencing number; 0 is never given out, so that it can mean none.
@@ -26,7 +26,9 @@
     /// Numbers reserved so far.
     fences: u64,
     marks: BTreeMap<ServerId, Mark>,
-    placements: BTreeMap<ServerId, Placement>,
+    placements: BTreeMap<ServerId, Placed>,
+    /// Placements made so far.
+    placed: u64,
 }
 
 /// The encoded form of [`State`].
@@ -39,7 +41,9 @@
     claims: Vec<u8>,
     fences: u64,
     marks: BTreeMap<ServerId, Mark>,
-    placements: BTreeMap<ServerId, Placement>,
+    placements: BTreeMap<ServerId, Placed>,
+    /// Placements made so far.
+    placed: u64,
 }
 
 impl State {
@@ -72,16 +76,43 @@
                 }
                 Response::Done
             }
-            Command::Place { server, placement } => {
-                match placement {
-                    Some(placement) => self.placements.insert(server, placement),
-                    None => self.placements.remove(&server),
-                };
+            Command::Place { server, placement, base } => {
+                Response::Placed(self.place(server, placement, base))
+            }
+            Command::Taken { server, version, fence } => {
+                if let Some(placed) = self.placements.get_mut(&server)
+                    && placed.version == version
+                {
+                    placed.taken = placed.taken.max(Some(fence));
+                }
                 Response::Done
             }
         }
     }
 
+    fn place(
+        &mut self,
+        server: ServerId,
+        placement: Option<Placement>,
+        base: u64,
+    ) -> Result<u64, u64> {
+        let current = self.placements.get(&server).map_or(0, |p| p.version);
+        if current != base {
+            return Err(current);
+        }
+        self.placed += 1;
+        match placement {
+            Some(placement) => {
+                let placed = Placed { placement, version: self.placed, taken: None };
+                self.placements.insert(server, placed);
+            }
+            None => {
+                self.placements.remove(&server);
+            }
+        }
+        Ok(self.placed)
+    }
+
     fn edit(&mut self, edit: Edit) -> EditOutcome {
         if let Some(first) = self.edits.outcome(&edit.id) {
             return first.clone();
@@ -133,8 +164,9 @@
     }
 
     /// What backend servers shall run.
-    pub fn placements(&self) -> impl Iterator<Item = (&ServerId, &Placement)> {
-        self.placements.iter()
+    #[must_use]
+    pub fn placements(&self) -> &BTreeMap<ServerId, Placed> {
+        &self.placements
     }
 
     /// Encodes the state for a snapshot.
@@ -153,6 +185,7 @@
             fences: self.fences,
             marks: self.marks.clone(),
             placements: self.placements.clone(),
+            placed: self.placed,
         };
         rmp_serde::to_vec_named(&image).expect("the state can be encoded")
     }
@@ -176,6 +209,7 @@
             fences: image.fences,
             marks: image.marks,
             placements: image.placements,
+            placed: image.placed,
         })
     }
 }
--- a/crates/state/src/place.rs
+++ b/crates/state/src/place.rs
@@ -16,3 +16,14 @@
     /// Role, such as `prefill` or `decode`.
     pub role: Arc<str>,
 }
+
+/// A placement with its number, and whether the server has taken the order for it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Placed {
+    /// What the server shall run.
+    pub placement: Placement,
+    /// Counts placements; a later one for the same server has a larger number.
+    pub version: u64,
+    /// Fencing number of the order that the server took.
+    pub taken: Option<u64>,
+}
