Give up requests whose end was lost; probe stragglers rarely and with short requests

Cause: (1) the message of a request's end can be lost with a link; its slot at the broker and its place in the account's concurrency were then never freed. (2) With 2 of 10 engines slowed five times p99 to the first token was 1,057 ms against 340 ms: a straggler always held one probe, of any length. Change: entry VMs say every 3 s which requests run, homes and brokers give up what they do not hear of for 12 s; a straggler gets a short request at most every 4 s; the assertion counts new slots only.

--- a/crates/broker/src/engine.rs
+++ b/crates/broker/src/engine.rs
@@ -9,7 +9,7 @@
     action::{Action, Offer, Placed},
     config::Config,
     pace::Pace,
-    pool::Pool,
+    pool::{Pool, Take},
     queue::{Queue, Waiting},
     route::Router,
 };
@@ -129,7 +129,8 @@
         self.bound(out);
     }
 
-    /// Takes over a request that an earlier broker granted.
+    /// Takes over a request that an earlier broker granted, or hears that one still runs: an entry
+    /// VM says so every few seconds, and a request of which nothing is heard is given up.
     pub fn adopt(&mut self, now: Time, placed: Placed) {
         self.pool.adopt(now, placed, &self.pace);
     }
@@ -249,7 +250,7 @@
             && let Some(run) = self.pool.end(victim)
         {
             out.push(Action::Revoke { request: victim, owner: run.owner });
-            self.start(now, offer, &run.server, out);
+            self.start(now, offer, &run.server, Take::Slot, out);
             return;
         }
         self.evict_below(tier, out);
@@ -291,46 +292,56 @@
         if now < self.warm_at {
             return;
         }
-        while let Some(request) = self.next_ticket(now) {
+        while let Some((request, server)) = self.next_grant(now) {
             let Some(waiting) = self.queue.grant(request) else {
                 return;
             };
-            let ticket = &waiting.offer.ticket;
-            let Some(server) = self.pool.choose(now, ticket, &self.pace, &mut *self.router) else {
-                return;
-            };
-            self.start(now, waiting.offer, &server, out);
+            self.start(now, waiting.offer, &server, Take::Room, out);
         }
     }
 
-    /// The ticket to grant next: the first in order, or one of the few behind it that wastes less
-    /// prefill. They are of one tier and one account, and the first is passed over only a few
-    /// times.
-    fn next_ticket(&mut self, now: Time) -> Option<RequestId> {
-        let head = self.queue.head()?;
-        let first = head.offer.ticket.request;
+    /// The ticket to grant next, and its server: the first in order, or one of the few behind it
+    /// that wastes less prefill. They are of one tier and one account, and the first is passed
+    /// over only a few times.
+    fn next_grant(&mut self, now: Time) -> Option<(RequestId, ServerId)> {
         if !self.pool.has_room(now) {
             return None;
         }
-        if head.skips >= MAX_SKIPS || !self.ordered {
-            return Some(first);
-        }
-        let few = self.queue.first_few(AFFINITY_REACH).map(|w| &w.offer.ticket);
-        let chosen = self.pool.least_waste(now, few).map_or(first, |t| t.request);
-        if chosen != first {
-            self.queue.skip(first);
+        let head = self.queue.head()?;
+        let first = head.offer.ticket.request;
+        if head.skips < MAX_SKIPS && self.ordered {
+            let few = self.queue.first_few(AFFINITY_REACH).map(|w| &w.offer.ticket);
+            if let Some(ticket) = self.pool.least_waste(now, few)
+                && let request = ticket.request
+                && request != first
+                && let Some(server) = self.pool.choose(now, ticket, &self.pace, &mut *self.router)
+            {
+                self.queue.skip(first);
+                return Some((request, server));
+            }
         }
-        Some(chosen)
+        let ticket = &self.queue.head()?.offer.ticket;
+        let server = self.pool.choose(now, ticket, &self.pace, &mut *self.router)?;
+        Some((first, server))
     }
 
-    fn start(&mut self, now: Time, offer: Offer, server: &ServerId, out: &mut Vec<Action>) {
+    fn start(
+        &mut self,
+        now: Time,
+        offer: Offer,
+        server: &ServerId,
+        take: Take,
+        out: &mut Vec<Action>,
+    ) {
         let waits = self.queue.head().map(|w| w.offer.ticket.tier);
         let tier = offer.ticket.tier;
         Invariant::GrantOrder
             .check(!self.ordered || offer.urgent || waits.is_none_or(|t| !t.outranks(tier)));
         let Offer { ticket, owner, .. } = offer;
         let request = ticket.request;
-        if let Some(address) = self.pool.start(now, ticket, owner.clone(), server, &self.pace) {
+        if let Some(address) =
+            self.pool.start(now, (ticket, owner.clone()), server, &self.pace, take)
+        {
             out.push(Action::Grant { request, owner, server: server.clone(), address });
         }
     }
--- a/crates/broker/src/pool.rs
+++ b/crates/broker/src/pool.rs
@@ -18,6 +18,10 @@
 const STRAGGLER_RATIO: f64 = 2.5;
 /// Requests that a straggler may hold at once, so that its recovery is noticed.
 const PROBE_WINDOW: u32 = 1;
+/// Longest probe, relative to a request of ordinary length.
+const PROBE_SHARE: f64 = 0.6;
+/// Shortest time between two probes of one server.
+const PROBE_INTERVAL: Span = Span::from_secs(4);
 /// Share by which an idle straggler's slowness decays to 1 at each check.
 const FORGIVE_RATE: f64 = 0.01;
 /// Share of the old sums kept at each observation of a server.
@@ -25,6 +29,12 @@
 /// Seconds at ordinary speed that a server is credited with before it was observed.
 const PRIOR_S: f64 = 0.05;
 
+/// Time after which a granted request of which nothing is heard is given up: several refreshes by
+/// its entry VM.
+const GRANT_LAPSE: Span = Span::from_secs(12);
+/// Interval at which such requests are looked for.
+const GIVE_UP_INTERVAL: Span = Span::from_secs(2);
+
 /// One backend server.
 #[derive(Debug)]
 pub(crate) struct Server {
@@ -37,6 +47,8 @@
     predicted: f64,
     observed: f64,
     overdue: f64,
+    /// When the next probe may be sent, if the server straggles.
+    probe_at: Time,
     prefixes: PrefixMap,
 }
 
@@ -51,10 +63,13 @@
         self.measured().max(self.overdue)
     }
 
+    fn straggles(&self, median: f64) -> bool {
+        self.slowness() > STRAGGLER_RATIO * median
+    }
+
     #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "`as` saturates")]
     fn window(&self, median: f64, share: f64) -> u32 {
-        let straggles = self.slowness() > STRAGGLER_RATIO * median;
-        if straggles {
+        if self.straggles(median) {
             return PROBE_WINDOW;
         }
         ((f64::from(self.info.slots) * share) as u32).max(1)
@@ -70,6 +85,8 @@
     pub(crate) since: Time,
     /// Where the server listened when the request was granted; unknown for one taken over.
     address: Option<SocketAddr>,
+    /// When the owner last said that the request runs.
+    heard: Time,
     work: f64,
 }
 
@@ -85,6 +102,15 @@
     }
 }
 
+/// What a grant takes of its server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Take {
+    /// Room within the window.
+    Room,
+    /// The slot of a request that was cancelled for it.
+    Slot,
+}
+
 /// Servers and granted requests.
 #[derive(Debug)]
 pub(crate) struct Pool {
@@ -95,6 +121,7 @@
     share: f64,
     max_prefixes: usize,
     windowed: bool,
+    give_up_at: Time,
 }
 
 impl Pool {
@@ -107,6 +134,7 @@
             share: 1.0,
             max_prefixes,
             windowed,
+            give_up_at: Time::default(),
         }
     }
 
@@ -137,6 +165,7 @@
             predicted: 0.0,
             observed: 0.0,
             overdue: 0.0,
+            probe_at: now,
             prefixes,
         };
         self.servers.insert(id, server);
@@ -152,6 +181,7 @@
     /// Drops servers whose announcement lapsed, and looks for stragglers.
     pub(crate) fn refresh(&mut self, now: Time, pace: &Pace) {
         self.servers.retain(|_, s| s.lapses > now);
+        self.give_up(now);
         for server in self.servers.values_mut() {
             server.overdue = 0.0;
             if server.running == 0 {
@@ -169,6 +199,19 @@
         self.median = self.median_slowness();
     }
 
+    /// Ends requests of which nothing was heard for long: the message of their end was lost.
+    fn give_up(&mut self, now: Time) {
+        if now < self.give_up_at {
+            return;
+        }
+        self.give_up_at = now + GIVE_UP_INTERVAL;
+        let silent = self.running.iter().filter(|(_, r)| r.heard + GRANT_LAPSE <= now);
+        let silent: Vec<RequestId> = silent.map(|(request, _)| *request).collect();
+        for request in silent {
+            self.end(request);
+        }
+    }
+
     fn median_slowness(&self) -> f64 {
         let mut all: Vec<f64> = self.servers.values().map(Server::measured).collect();
         all.sort_by(f64::total_cmp);
@@ -189,13 +232,25 @@
         self.serving(now).map(|s| s.window(self.median, self.share)).sum()
     }
 
-    fn has_room_on(&self, server: &Server) -> bool {
-        !self.windowed || server.running < server.window(self.median, self.share)
+    fn has_room_on(&self, now: Time, server: &Server) -> bool {
+        if !self.windowed {
+            return true;
+        }
+        let rests = server.straggles(self.median) && now < server.probe_at;
+        !rests && server.running < server.window(self.median, self.share)
+    }
+
+    /// Whether a ticket may go to a server: one that straggles is probed with short ones only, so
+    /// that few callers wait for it.
+    fn suits(&self, server: &Server, ticket: &Ticket, pace: &Pace) -> bool {
+        !self.windowed
+            || !server.straggles(self.median)
+            || pace.total(ticket, false) <= pace.usual() * PROBE_SHARE
     }
 
     /// Whether some server has room.
     pub(crate) fn has_room(&self, now: Time) -> bool {
-        self.serving(now).any(|s| self.has_room_on(s))
+        self.serving(now).any(|s| self.has_room_on(now, s))
     }
 
     /// Which of these tickets, in their order, wastes the least prefill if it is granted now: one
@@ -207,7 +262,7 @@
         tickets: impl Iterator<Item = &'a Ticket>,
     ) -> Option<&'a Ticket> {
         let (free, busy): (Vec<&Server>, Vec<&Server>) =
-            self.serving(now).partition(|s| self.has_room_on(s));
+            self.serving(now).partition(|s| self.has_room_on(now, s));
         let holds =
             |servers: &[&Server], t: &Ticket| servers.iter().any(|s| s.prefixes.holds(t.prefix));
         let mut cold = None;
@@ -230,7 +285,8 @@
         pace: &Pace,
         router: &mut dyn Router,
     ) -> Option<ServerId> {
-        let room = self.serving(now).filter(|s| self.has_room_on(s));
+        let room = self.serving(now).filter(|s| self.has_room_on(now, s));
+        let room = room.filter(|s| self.suits(s, ticket, pace));
         let candidates: Vec<_> = room
             .map(|s| Candidate {
                 id: &s.info.id,
@@ -250,29 +306,43 @@
     pub(crate) fn start(
         &mut self,
         now: Time,
-        ticket: Ticket,
-        owner: VmName,
+        (ticket, owner): (Ticket, VmName),
         id: &ServerId,
         pace: &Pace,
+        take: Take,
     ) -> Option<SocketAddr> {
         let server = self.servers.get_mut(id)?;
         Invariant::LeavingServer.check(server.duty == Duty::Serving);
-        Invariant::Window.check(!self.windowed || server.running < server.info.slots);
+        // A taken slot is no new one: requests reported to a broker that took over may already
+        // exceed the window.
+        let room = take == Take::Slot || server.running < server.info.slots;
+        Invariant::Window.check(!self.windowed || room);
         let work = pace.total(&ticket, server.prefixes.holds(ticket.prefix));
+        if server.straggles(self.median) {
+            server.probe_at = now + PROBE_INTERVAL;
+        }
         server.running += 1;
         server.work += work;
         server.prefixes.touch(ticket.prefix);
         let address = server.info.address;
-        let run =
-            Running { owner, server: id.clone(), since: now, address: Some(address), work, ticket };
+        let run = Running {
+            owner,
+            server: id.clone(),
+            since: now,
+            address: Some(address),
+            heard: now,
+            work,
+            ticket,
+        };
         let old = self.running.insert(run.ticket.request, run);
         Invariant::OneDispatch.check(old.is_none());
         Some(address)
     }
 
-    /// Takes over a request that another broker granted.
+    /// Takes over a request that another broker granted, or hears that one still runs.
     pub(crate) fn adopt(&mut self, now: Time, placed: Placed, pace: &Pace) {
-        if self.running.contains_key(&placed.ticket.request) {
+        if let Some(run) = self.running.get_mut(&placed.ticket.request) {
+            run.heard = now;
             return;
         }
         let work = pace.total(&placed.ticket, false);
@@ -281,7 +351,7 @@
             server.work += work;
         }
         let Placed { ticket, owner, server } = placed;
-        let run = Running { owner, server, since: now, address: None, work, ticket };
+        let run = Running { owner, server, since: now, address: None, heard: now, work, ticket };
         self.running.insert(run.ticket.request, run);
     }
 
--- a/crates/control/src/homes.rs
+++ b/crates/control/src/homes.rs
@@ -8,7 +8,10 @@
 use crate::wire::Message;
 
 /// Interval at which idle accounts are dropped.
-const COMPACT_INTERVAL: Span = Span::from_secs(10);
+const COMPACT_INTERVAL: Span = Span::from_secs(2);
+
+/// Time after which a request of which nothing is heard is given up: several refreshes.
+const HOLD_LAPSE: Span = Span::from_secs(12);
 
 /// The limiter with the catalogue that it applies.
 #[derive(Debug, Default)]
@@ -63,7 +66,14 @@
     pub(crate) fn tick(&mut self, now: Time) {
         if now >= self.compact_at {
             self.compact_at = now + COMPACT_INTERVAL;
+            let before = Time::default() + ((now - Time::default()) - HOLD_LAPSE);
+            self.limiter.expire(before);
             self.limiter.compact(now);
         }
     }
+
+    /// Requests of all accounts that are held here.
+    pub(crate) fn held(&self) -> usize {
+        self.limiter.held_in_all()
+    }
 }
--- a/crates/control/src/report.rs
+++ b/crates/control/src/report.rs
@@ -29,6 +29,8 @@
                 .map_or(Vec::new(), |r| r.voters().iter().map(ToString::to_string).collect()),
             claims: state.claims_len(),
             open: self.requests.len(),
+            held: self.homes.held(),
+            running: self.brokers.hosted().map(|(_, b)| b.summary().running).sum(),
             waiting: self.brokers.hosted().map(|(_, b)| b.summary().waiting).sum(),
             peers: peers.collect(),
             servers: self.server_status(),
--- a/crates/control/src/requests.rs
+++ b/crates/control/src/requests.rs
@@ -4,6 +4,9 @@
 
 use model::{RequestId, ServerId, Span, Ticket, Time, VmName, ZoneName};
 
+/// Interval at which a request's home and broker are told that it runs.
+pub(crate) const REFRESH_INTERVAL: Span = Span::from_secs(3);
+
 /// Where a request's ticket is.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum Phase {
@@ -41,6 +44,8 @@
     pub(crate) home: Option<VmName>,
     /// When the ticket was sent last.
     pub(crate) sent: Time,
+    /// When the home and the broker are next told that the request runs.
+    pub(crate) refresh_at: Time,
 }
 
 /// All requests that this VM holds.
@@ -55,7 +60,9 @@
     pub(crate) fn insert(&mut self, now: Time, ticket: Ticket) {
         let deadline = now + ticket.budget;
         let request = ticket.request;
-        let open = Open { ticket, deadline, phase: Phase::Admitting, home: None, sent: now };
+        let refresh_at = now + REFRESH_INTERVAL;
+        let phase = Phase::Admitting;
+        let open = Open { ticket, deadline, phase, home: None, sent: now, refresh_at };
         self.deadlines.insert((deadline, request));
         self.by_id.insert(request, open);
     }
--- a/crates/control/src/router.rs
+++ b/crates/control/src/router.rs
@@ -9,13 +9,16 @@
 use crate::{
     event::Output,
     machine::Machine,
-    requests::{Phase, Route},
+    requests::{Phase, REFRESH_INTERVAL, Route},
     wire::Message,
 };
 
 /// Time after which a ticket without an answer is sent again.
 const RESEND_AFTER: Span = Span::from_millis(500);
 
+/// Interval at which requests are looked for whose home and broker are to be told.
+const REFRESH_CHECK: Span = Span::from_secs(1);
+
 impl Machine {
     pub(crate) fn on_submit(&mut self, ticket: Ticket) {
         let request = ticket.request;
@@ -288,6 +291,31 @@
             }
         }
         self.ended.expire(now);
+        if now >= self.refresh_at {
+            self.refresh_at = now + REFRESH_CHECK;
+            self.refresh();
+        }
+    }
+
+    /// Tells homes and brokers which requests still run, so that they can give up those of which
+    /// they hear nothing: the message of an end can be lost.
+    fn refresh(&mut self) {
+        let now = self.clock.now;
+        for request in self.requests.ids() {
+            let Some(open) = self.requests.get_mut(request).filter(|o| o.refresh_at <= now) else {
+                continue;
+            };
+            open.refresh_at = now + REFRESH_INTERVAL;
+            let (ticket, home, phase) =
+                (open.ticket.clone(), open.home.clone(), open.phase.clone());
+            let account = ticket.account.clone();
+            if let Some(home) = home.filter(|_| phase != Phase::Admitting) {
+                self.send(home, Message::Hold { request, account });
+            }
+            if let Phase::Granted(Route { broker: Some(broker), .. }, server) = phase {
+                self.send(broker, Message::Placed { ticket, server });
+            }
+        }
     }
 
     /// Sends tickets, grants and holds to the VMs that now hold the roles.
--- a/crates/control/src/status.rs
+++ b/crates/control/src/status.rs
@@ -32,6 +32,10 @@
     pub claims: usize,
     /// Requests of callers that this VM holds.
     pub open: usize,
+    /// Running requests of the accounts whose home this VM is.
+    pub held: usize,
+    /// Requests that the brokers of this VM have granted and that have not ended.
+    pub running: usize,
     /// Tickets that wait at the brokers of this VM.
     pub waiting: usize,
     /// Other VMs.
--- a/crates/limits/src/limiter.rs
+++ b/crates/limits/src/limiter.rs
@@ -30,6 +30,8 @@
 struct Hold {
     owner: VmName,
     tokens: u32,
+    /// When the owner last said that the request runs.
+    heard: Time,
 }
 
 /// Buckets and running requests of the accounts whose home this VM is.
@@ -54,7 +56,8 @@
         tokens: u32,
     ) -> Result<(), OverLimit> {
         let state = self.account(now, account, limits);
-        if state.held.contains_key(&request) {
+        if let Some(hold) = state.held.get_mut(&request) {
+            hold.heard = now;
             return Ok(());
         }
         if state.held.len() >= usize::try_from(limits.concurrent).unwrap_or(usize::MAX) {
@@ -71,13 +74,13 @@
         }
         state.rate.spend(1.0);
         state.tokens.spend(tokens.into());
-        state.held.insert(request, Hold { owner: owner.clone(), tokens });
+        state.held.insert(request, Hold { owner: owner.clone(), tokens, heard: now });
         let held = u32::try_from(state.held.len()).unwrap_or(u32::MAX);
         Invariant::Limit.check(held <= limits.concurrent);
         Ok(())
     }
 
-    /// Takes over a request that an earlier home admitted. It may exceed the limit for a while:
+    /// Takes over a request that an earlier home admitted, or hears that one still runs. It may exceed the limit for a while:
     /// what was admitted is not cut off.
     pub fn adopt(
         &mut self,
@@ -88,7 +91,8 @@
         owner: &VmName,
     ) {
         let state = self.account(now, account, limits);
-        state.held.entry(request).or_insert(Hold { owner: owner.clone(), tokens: 0 });
+        let new = || Hold { owner: owner.clone(), tokens: 0, heard: now };
+        state.held.entry(request).or_insert_with(new).heard = now;
     }
 
     /// Ends a request; one that did not run gets its spent amounts back.
@@ -111,6 +115,19 @@
         }
     }
 
+    /// Ends requests of which nothing was heard since `before`: the message of their end was lost.
+    pub fn expire(&mut self, before: Time) {
+        for state in self.accounts.values_mut() {
+            state.held.retain(|_, hold| hold.heard >= before);
+        }
+    }
+
+    /// Requests held over all accounts.
+    #[must_use]
+    pub fn held_in_all(&self) -> usize {
+        self.accounts.values().map(|a| a.held.len()).sum()
+    }
+
     /// Drops accounts whose state equals that of an account never seen, to bound memory.
     pub fn compact(&mut self, now: Time) {
         self.accounts.retain(|_, state| {
