--- a/crates/broker/src/engine.rs
+++ b/crates/broker/src/engine.rs
@@ -18,7 +18,7 @@
 const IDLE_SHARE: f64 = 0.5;
 
 /// Part of its slack, as a divisor, that a ticket waits here while other zones were not asked.
-const PATIENCE_SHARE: u64 = 8;
+const PATIENCE_SHARE: u64 = 64;
 /// Tickets among which one is looked for whose prefix is held.
 const AFFINITY_REACH: usize = 24;
 /// How often a ticket that is first in order is passed over for one whose prefix is held.
--- a/crates/broker/src/pool.rs
+++ b/crates/broker/src/pool.rs
@@ -18,12 +18,14 @@
 const STRAGGLER_RATIO: f64 = 2.5;
 /// Requests that a straggler may hold at once, so that its recovery is noticed.
 const PROBE_WINDOW: u32 = 1;
+/// Slowness of an answer up to which a straggler counts as recovered.
+const RECOVERED_RATIO: f64 = 1.5;
 /// Longest probe, relative to a request of ordinary length.
 const PROBE_SHARE: f64 = 0.6;
 /// Shortest time between two probes of one server.
-const PROBE_INTERVAL: Span = Span::from_secs(4);
+const PROBE_INTERVAL: Span = Span::from_secs(8);
 /// Share by which an idle straggler's slowness decays to 1 at each check.
-const FORGIVE_RATE: f64 = 0.01;
+const FORGIVE_RATE: f64 = 0.000_5;
 /// Share of the old sums kept at each observation of a server.
 const FADE: f64 = 0.85;
 /// Seconds at ordinary speed that a server is credited with before it was observed.
@@ -365,12 +367,19 @@
         Some(run)
     }
 
-    /// Learns a server's speed from one finished request.
+    /// Learns a server's speed from one finished request. One ordinary answer ends a server's
+    /// time as a straggler: probes are rare, and forgetting by many of them would take minutes.
     pub(crate) fn observe(&mut self, id: &ServerId, predicted: f64, total: Span) {
-        if let Some(server) = self.servers.get_mut(id) {
-            server.predicted = server.predicted * FADE + predicted;
-            server.observed = server.observed * FADE + total.as_secs_f64();
+        let median = self.median;
+        let Some(server) = self.servers.get_mut(id) else {
+            return;
+        };
+        let observed = total.as_secs_f64();
+        if server.straggles(median) && observed <= predicted * RECOVERED_RATIO * median {
+            server.observed = server.predicted;
         }
+        server.predicted = server.predicted * FADE + predicted;
+        server.observed = server.observed * FADE + observed;
     }
 
     /// Counts a failure as a very slow answer, so that the server gets only probes for a while.
--- a/crates/broker/tests/properties.rs
+++ b/crates/broker/tests/properties.rs
@@ -11,7 +11,7 @@
     Announcement, Duty, Fencing, Kind, Outcome, RefusalReason, RequestId, ServerId, ServiceName,
     Span, Ticket, Tier, Time, VmName,
 };
-use proptest::prelude::*;
+use proptest::{prelude::*, test_runner::RngSeed};
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
 
 const SERVERS: u8 = 4;
@@ -290,6 +290,7 @@
     #![proptest_config(ProptestConfig {
         cases: 400,
         failure_persistence: None,
+        rng_seed: RngSeed::Fixed(20_261_204),
         max_shrink_iters: 20_000,
         ..ProptestConfig::default()
     })]
--- a/crates/control/tests/orders.rs
+++ b/crates/control/tests/orders.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use control::{Clock, Input, Machine, Message, Order, Output, PeerSetup, Policy, Setup};
+use control::{Clock, Input, Machine, Order, Output, PeerSetup, Policy, Setup};
 use model::{Announcement, Fencing, Kind, ServerId, Span, VmName, ZoneName};
 use raft::Member;
 use state::{Command, Placement};
--- a/crates/entry/src/chat.rs
+++ b/crates/entry/src/chat.rs
@@ -7,7 +7,7 @@
 use futures_util::stream;
 use gotham::helpers::http::Body;
 use http::{HeaderMap, HeaderValue, Method, Response, header};
-use model::{Outcome, RefusalReason, Verdict};
+use model::{Invariant, Outcome, RefusalReason, Verdict};
 
 use crate::{
     body,
@@ -63,6 +63,9 @@
 
 /// The head of an answer.
 pub(crate) fn head(case: &Case, running: &Running, content: Body) -> Response<Body> {
+    let echo = running.exchange.headers().get(REQUEST_ID);
+    let own = echo.is_none_or(|e| e.as_bytes() == case.request.to_string().as_bytes());
+    Invariant::AnswerMatch.check(own);
     let mut response = body::handled(content);
     *response.status_mut() = running.exchange.status();
     for (name, value) in running.exchange.headers() {
--- a/crates/fuchsiausher/tests/common/mod.rs
+++ b/crates/fuchsiausher/tests/common/mod.rs
@@ -1,7 +1,11 @@
-//! Links between entry VMs that a test can cut silently.
+//! Links between entry VMs that a test can cut silently, and entry VMs as processes.
+#![allow(dead_code, reason = "each test file uses a part")]
 
 use std::{
+    fmt::Write as _,
     net::SocketAddr,
+    path::PathBuf,
+    process::{Child, Command, Stdio},
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
@@ -9,7 +13,7 @@
     time::Duration,
 };
 
-use fuchsiausher::BedConfig;
+use fuchsiausher::{AdminClient, BedConfig};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{
@@ -96,3 +100,93 @@
         }
     }
 }
+
+/// Secret of operators of the processes.
+const ADMIN_SECRET: &str = "operators";
+
+/// Entry VMs as processes of their own: the first three have disks and found the replicated log.
+pub(crate) struct Processes {
+    folder: PathBuf,
+    admins: Vec<SocketAddr>,
+    children: Vec<Option<Child>>,
+}
+
+impl Processes {
+    /// Writes the settings of a bed's zones and links, and starts all processes.
+    pub(crate) fn start(name: &str, config: &BedConfig) -> Self {
+        let folder = std::env::temp_dir().join(format!("{name}-{}", std::process::id()));
+        let _ = std::fs::remove_dir_all(&folder);
+        std::fs::create_dir_all(&folder).unwrap();
+        let count = config.zones.len();
+        let admins: Vec<SocketAddr> = (0..count).map(|_| free()).collect();
+        for (at, admin) in admins.iter().enumerate() {
+            let text = settings(config, &folder, at, *admin);
+            std::fs::write(folder.join(format!("vm-{at}.toml")), text).unwrap();
+        }
+        let children = (0..count).map(|_| None).collect();
+        let mut processes = Self { folder, admins, children };
+        for at in 0..count {
+            processes.spawn(at);
+        }
+        processes
+    }
+
+    /// Starts a process that is not running.
+    pub(crate) fn spawn(&mut self, at: usize) {
+        let child = Command::new(env!("CARGO_BIN_EXE_fuchsiausher"))
+            .arg("run")
+            .arg(self.folder.join(format!("vm-{at}.toml")))
+            .stdout(Stdio::null())
+            .stderr(Stdio::null())
+            .spawn()
+            .unwrap();
+        self.children[at] = Some(child);
+    }
+
+    /// Ends a process at once, by SIGKILL.
+    pub(crate) fn kill(&mut self, at: usize) {
+        if let Some(mut child) = self.children[at].take() {
+            child.kill().unwrap();
+            child.wait().unwrap();
+        }
+    }
+
+    pub(crate) fn admin(&self, at: usize) -> AdminClient {
+        AdminClient::new(self.admins[at], ADMIN_SECRET)
+    }
+}
+
+impl Drop for Processes {
+    fn drop(&mut self) {
+        for child in self.children.iter_mut().flatten() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+fn settings(config: &BedConfig, folder: &std::path::Path, at: usize, admin: SocketAddr) -> String {
+    let mut text = format!(
+        "vm = \"vm-{at}\"\nzone = \"{}\"\ncallers = \"{}\"\nadmin = \"{admin}\"\n\
+         peers_listen = \"{}\"\nfounders = [\"vm-0\", \"vm-1\", \"vm-2\"]\n",
+        config.zones[at],
+        free(),
+        config.listens[at],
+    );
+    if at < 3 {
+        writeln!(text, "data = \"{}\"", folder.join(format!("data-{at}")).display()).unwrap();
+    }
+    writeln!(
+        text,
+        "[secrets]\ncluster = \"a key that is long enough\"\nadmin = \"{ADMIN_SECRET}\"\n\
+         announce = \"servers\""
+    )
+    .unwrap();
+    for (_, to, address) in config.detours.iter().filter(|(from, _, _)| *from == at) {
+        let zone = &config.zones[*to];
+        writeln!(text, "[[peers]]\nvm = \"vm-{to}\"\nzone = \"{zone}\"\naddress = \"{address}\"")
+            .unwrap();
+    }
+    text
+}
--- a/crates/limits/tests/limits.rs
+++ b/crates/limits/tests/limits.rs
@@ -2,7 +2,7 @@
 
 use limits::{Limiter, Side, part};
 use model::{AccountName, Limits, RefusalReason, RequestId, Span, Time, VmName};
-use proptest::prelude::*;
+use proptest::{prelude::*, test_runner::RngSeed};
 
 fn account() -> AccountName {
     AccountName::try_from("a").unwrap()
@@ -79,7 +79,11 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig {
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(20_261_204),
+        ..ProptestConfig::default()
+    })]
 
     #[test]
     fn rate_is_never_exceeded(gaps in prop::collection::vec(0_u64..300, 1..400), rate in 1_u32..50) {
