Take test ports below those of outgoing connections

Cause: in a fresh clone two tests could not listen: a port that was free a moment before had been given to an outgoing connection of another test. Change: free_address counts up from a place of its own for each process, below the system's range.

--- a/crates/fuchsiausher/src/bed.rs
+++ b/crates/fuchsiausher/src/bed.rs
@@ -3,7 +3,10 @@
 use std::{
     net::{SocketAddr, TcpListener},
     path::PathBuf,
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
     time::Duration,
 };
 
@@ -24,6 +27,11 @@
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
 /// Interval at which readiness is looked at.
 const POLL: Duration = Duration::from_millis(50);
+/// Ports that a bed listens on: from the first, so many.
+const FIRST_PORT: u16 = 12_000;
+const PORT_COUNT: u32 = 20_000;
+/// Distance between the first ports of two processes with neighbouring ids.
+const PORT_STRIDE: u32 = 271;
 /// Threads for the traffic of each entry VM.
 const WORKERS: usize = 2;
 /// Secret of operators on a bed.
@@ -409,10 +417,28 @@
     ErrorKind::Bed(why.into()).into()
 }
 
-/// A loopback port that was free a moment ago.
-fn free_address() -> SocketAddr {
-    let any = SocketAddr::from(([127, 0, 0, 1], 0));
-    TcpListener::bind(any).and_then(|l| l.local_addr()).unwrap_or(any)
+/// A loopback address that nothing listens on and that no other call in this process gets.
+///
+/// The port lies below those that the system gives to outgoing connections: one of these could
+/// take the port between this call and its use.
+///
+/// # Examples
+///
+/// ```
+/// assert_ne!(fuchsiausher::free_address(), fuchsiausher::free_address());
+/// ```
+#[must_use]
+pub fn free_address() -> SocketAddr {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    loop {
+        let n = NEXT.fetch_add(1, Ordering::Relaxed)
+            + std::process::id().wrapping_mul(PORT_STRIDE) % PORT_COUNT;
+        let port = FIRST_PORT + u16::try_from(n % PORT_COUNT).unwrap_or(0);
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
 
 fn make_settings(config: &BedConfig, folder: &std::path::Path) -> Vec<Settings> {
--- a/crates/fuchsiausher/src/lib.rs
+++ b/crates/fuchsiausher/src/lib.rs
@@ -39,7 +39,7 @@
 pub use control::Policy;
 
 pub use crate::{
-    bed::{Bed, BedConfig, BedNode, EngineGroup, account_entry, chat_body},
+    bed::{Bed, BedConfig, BedNode, EngineGroup, account_entry, chat_body, free_address},
     cli::{Exit, main},
     client::{AdminClient, AdminError},
     error::Error,
--- a/crates/fuchsiausher/tests/common/mod.rs
+++ b/crates/fuchsiausher/tests/common/mod.rs
@@ -13,7 +13,7 @@
     time::Duration,
 };
 
-use fuchsiausher::{AdminClient, BedConfig};
+use fuchsiausher::{AdminClient, BedConfig, free_address};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{
@@ -34,7 +34,7 @@
     /// Puts a link between every two entry VMs of a bed that is not started yet.
     pub(crate) async fn new(config: &mut BedConfig) -> Self {
         let count = config.zones.len();
-        config.listens = (0..count).map(|_| free()).collect();
+        config.listens = (0..count).map(|_| free_address()).collect();
         let mut cut = Vec::new();
         for from in 0..count {
             for to in (0..count).filter(|to| *to != from) {
@@ -60,10 +60,6 @@
     }
 }
 
-fn free() -> SocketAddr {
-    std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
-}
-
 async fn accept(listener: TcpListener, target: SocketAddr, cut: Arc<AtomicBool>) {
     while let Ok((near, _)) = listener.accept().await {
         let cut = Arc::clone(&cut);
@@ -118,7 +114,7 @@
         let _ = std::fs::remove_dir_all(&folder);
         std::fs::create_dir_all(&folder).unwrap();
         let count = config.zones.len();
-        let admins: Vec<SocketAddr> = (0..count).map(|_| free()).collect();
+        let admins: Vec<SocketAddr> = (0..count).map(|_| free_address()).collect();
         for (at, admin) in admins.iter().enumerate() {
             let text = settings(config, &folder, at, *admin);
             std::fs::write(folder.join(format!("vm-{at}.toml")), text).unwrap();
@@ -171,7 +167,7 @@
         "vm = \"vm-{at}\"\nzone = \"{}\"\ncallers = \"{}\"\nadmin = \"{admin}\"\n\
          peers_listen = \"{}\"\nfounders = [\"vm-0\", \"vm-1\", \"vm-2\"]\n",
         config.zones[at],
-        free(),
+        free_address(),
         config.listens[at],
     );
     if at < 3 {
--- a/crates/fuchsiausher/tests/operations.rs
+++ b/crates/fuchsiausher/tests/operations.rs
@@ -9,6 +9,7 @@
 
 use fuchsiausher::{
     Balancer, Bed, BedConfig, Shot, ShotKind, account_entry, chat_body, check_promises, fire,
+    free_address,
 };
 use serde_json::json;
 use stand::{Answered, CallError, Config, Pace, Role, Server, call};
@@ -101,14 +102,10 @@
     }
 }
 
-fn free() -> std::net::SocketAddr {
-    std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
-}
-
 fn spawn_process() -> Process {
     let folder = std::env::temp_dir().join(format!("fuchsiausher-stop-{}", std::process::id()));
     std::fs::create_dir_all(&folder).unwrap();
-    let (callers, admin, listen) = (free(), free(), free());
+    let (callers, admin, listen) = (free_address(), free_address(), free_address());
     let settings = format!(
         "vm = \"vm-1\"\nzone = \"zone-a\"\ncallers = \"{callers}\"\nadmin = \"{admin}\"\n\
          peers_listen = \"{listen}\"\ndata = \"{}\"\nfounders = [\"vm-1\"]\n\
