--- a/crates/control/src/replicate.rs
+++ b/crates/control/src/replicate.rs
@@ -4,6 +4,7 @@
 use state::{Command, Response};
 
 use crate::{
+    contact::{Act, allowed},
     event::{Answer, Change, Clock, Output},
     giving::FENCE_TOKEN,
     machine::Machine,
@@ -12,6 +13,21 @@
     wire::Message,
 };
 
+/// What contact must allow before something is asked of the leader.
+fn act_of(ask: &Ask) -> Act {
+    match ask {
+        Ask::Command(Command::Claim { .. } | Command::Settle { .. } | Command::Release { .. }) => {
+            Act::Claim
+        }
+        Ask::Command(Command::Place { .. } | Command::Taken { .. } | Command::Fence { .. }) => {
+            Act::Order
+        }
+        Ask::Command(Command::Edit(_) | Command::Mark { .. }) | Ask::Read(_) | Ask::Voter(..) => {
+            Act::Edit
+        }
+    }
+}
+
 impl Machine {
     pub(crate) fn ask(&mut self, call: u64, ask: Ask) {
         self.proposals.add(self.clock.now, call, ask);
@@ -39,9 +55,13 @@
         if !self.shared.in_quorum(now) {
             return;
         }
+        let contact = self.contact;
         let Some(pending) = self.proposals.get_mut(token) else {
             return;
         };
+        if !allowed(contact, act_of(&pending.ask)) {
+            return;
+        }
         pending.resend_at = now + RESEND_AFTER;
         let message = match &pending.ask {
             Ask::Command(command) => {
