Keep time for the other zones when an urgent ticket waits

Cause: an urgent ticket waited in one zone until its last moment; the next zone then called its deadline infeasible without looking for a lower tier to cancel. Change: it waits for seven eighths of its slack, and an urgent ticket is not refused as infeasible.

--- a/crates/broker/src/engine.rs
+++ b/crates/broker/src/engine.rs
@@ -211,19 +211,23 @@
         self.queue.len() == 0 && self.pool.running_len() == 0 && self.pool.servers().count() == 0
     }
 
-    /// Whether not even an idle server of ordinary speed would meet the ticket's deadline.
+    /// Whether not even an idle server of ordinary speed would meet the ticket's deadline. This is
+    /// not asked of an urgent ticket: it became short of time by waiting, so it may still take a
+    /// lower tier's slot.
     fn is_infeasible(&self, offer: &Offer) -> bool {
         // Observations include waiting inside loaded engines, so an idle one is faster.
         let idle = self.pace.first(&offer.ticket, true) * IDLE_SHARE;
-        self.pace.is_known() && idle > offer.ticket.budget.as_secs_f64()
+        !offer.urgent && self.pace.is_known() && idle > offer.ticket.budget.as_secs_f64()
     }
 
-    /// Until when the ticket waits here. An urgent one waits as long as a grant still meets its
-    /// deadline; one that is not leaves half of that time to other zones.
+    /// Until when the ticket waits here: an urgent one for most of the time in which a grant still
+    /// meets its deadline, one that is not for half of it.
     fn latest_start(&self, now: Time, offer: &Offer) -> Time {
         let first = Span::from_secs_f64(self.pace.first(&offer.ticket, false));
         let slack = offer.ticket.budget - first;
-        if offer.urgent { now + slack } else { now + Span::from_micros(slack.as_micros() / 2) }
+        let part = slack.as_micros() / 8;
+        // An urgent ticket keeps an eighth, in which the other zones can still cancel a lower tier.
+        now + Span::from_micros(if offer.urgent { part * 7 } else { part * 4 })
     }
 
     /// How long the ticket is predicted to wait; zero as long as nothing was observed.
