Log and export the slots of each service, and log every caller that leaves

An entry VM now writes 'slots of a service' once a second for each service that it grants, and exports the gauge service_slots. A request whose caller leaves before the head of the answer, or while a stream is resumed, gets the line 'caller left' too.

--- a/crates/broker/src/broker.rs
+++ b/crates/broker/src/broker.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeMap;
 
 use model::{
-    Announcement, Duty, Invariant, Outcome, RefusalReason, RequestId, ServerId, Span, Ticket, Tier,
-    Time, VmName, ZoneName,
+    Announcement, Duty, Invariant, Outcome, RefusalReason, RequestId, ServerId, Span, TIER_COUNT,
+    Ticket, Tier, Time, VmName, ZoneName,
 };
 
 use crate::{
@@ -64,6 +64,21 @@
     pub servers: Vec<(Announcement, Duty, u32, f64)>,
 }
 
+/// Slots of a service's servers that take new work, and the tickets that wait for them.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct SlotUsage {
+    /// Number of slots.
+    pub slots: u32,
+    /// Number of free slots. Those of a server that refused connections are not free.
+    pub free: u32,
+    /// Number of requests in flight that this broker granted or took over.
+    pub running: u32,
+    /// Number of requests in flight that other VMs report.
+    pub reported: u32,
+    /// Number of waiting tickets of each tier.
+    pub waiting: [u32; TIER_COUNT],
+}
+
 impl std::fmt::Debug for Broker {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.debug_struct("Broker").field("summary", &self.summary()).finish_non_exhaustive()
@@ -381,6 +396,12 @@
         }
     }
 
+    /// Returns the slots in use and the waiting tickets.
+    #[must_use]
+    pub fn slot_usage(&self, now: Time) -> SlotUsage {
+        SlotUsage { waiting: self.queue.by_tier().map(|(n, _)| n), ..self.pool.slot_usage(now) }
+    }
+
     /// Returns whether there are no waiting tickets, no running requests and no servers.
     #[must_use]
     pub fn is_idle(&self) -> bool {
--- a/crates/broker/src/lib.rs
+++ b/crates/broker/src/lib.rs
@@ -57,7 +57,7 @@
 
 pub use crate::{
     action::{Action, LateLimits, Offer, RunningRequest, ServerLoad, VmLoad},
-    broker::{Broker, Summary},
+    broker::{Broker, SlotUsage, Summary},
     config::Config,
     policy::Policy,
     route::{Candidate, LeastInFlight, LeastReported, Predicted, RoundRobin, Router, TwoChoices},
--- a/crates/broker/src/pool.rs
+++ b/crates/broker/src/pool.rs
@@ -16,6 +16,7 @@
 
 use crate::{
     action::{Action, RunningRequest, ServerLoad},
+    broker::SlotUsage,
     latency::LatencyModel,
     prefix::PrefixMap,
     route::{Candidate, Router},
@@ -337,6 +338,17 @@
         self.serving(now).map(|s| s.window(self.median, self.window_share)).sum()
     }
 
+    /// Returns the slots of the serving servers. Tickets do not wait in the pool.
+    pub(crate) fn slot_usage(&self, now: Time) -> SlotUsage {
+        self.serving(now).fold(SlotUsage::default(), |sum, server| SlotUsage {
+            slots: sum.slots + server.info.slots,
+            free: sum.free + server.free_slots(),
+            running: sum.running + server.running,
+            reported: sum.reported + server.peer_load.running,
+            ..sum
+        })
+    }
+
     fn has_capacity_on(&self, now: Time, server: &Server) -> bool {
         if !self.windowed {
             return true;
--- a/crates/meters/src/metrics.rs
+++ b/crates/meters/src/metrics.rs
@@ -89,6 +89,7 @@
     operations: Counter<u64>,
     first_byte_seconds: Histogram<f64>,
     invariants_broken: Gauge<u64>,
+    service_slots: Gauge<u64>,
     open_requests: Gauge<i64>,
     /// Value of `open_requests`, which the gauge itself cannot return.
     open_count: AtomicI64,
@@ -125,6 +126,7 @@
             operations: meter.u64_counter("operations").build(),
             first_byte_seconds: meter.f64_histogram("first_byte_seconds").build(),
             invariants_broken: meter.u64_gauge("invariants_broken").build(),
+            service_slots: meter.u64_gauge("service_slots").build(),
             open_requests: meter.i64_gauge("open_requests").build(),
             open_count: AtomicI64::new(0),
             peer_bytes: meter.u64_counter("peer_bytes").build(),
@@ -172,6 +174,13 @@
         self.first_byte_seconds.record(seconds, &[]);
     }
 
+    /// Records the number of a service's slots, or of its waiting requests, that are in a state such
+    /// as `free`.
+    pub fn record_slots(&self, service: &str, state: &'static str, count: u32) {
+        let labels = [KeyValue::new("service", service.to_owned()), KeyValue::new("state", state)];
+        self.service_slots.record(count.into(), &labels);
+    }
+
     /// Changes the number of open requests: by +1 when a request arrives, by -1 when it ends.
     pub fn change_open_requests(&self, change: i64) {
         let count = self.open_count.fetch_add(change, Ordering::Relaxed) + change;
--- a/crates/region/src/lib.rs
+++ b/crates/region/src/lib.rs
@@ -19,5 +19,5 @@
 
 pub use crate::{
     message::{Frame, Message, Session},
-    region::{Gossip, GrantDecision, Notice, Region},
+    region::{Gossip, GrantDecision, Notice, Region, ServiceUsage},
 };
--- a/crates/region/src/region.rs
+++ b/crates/region/src/region.rs
@@ -8,7 +8,7 @@
     net::SocketAddr,
 };
 
-use broker::{Action, Broker, Config, Offer, VmLoad};
+use broker::{Action, Broker, Config, Offer, SlotUsage, VmLoad};
 use model::{
     Announcement, Duty, Outcome, RefusalReason, RequestId, ServerId, ServiceName, Span, Time,
     VmName, ZoneName,
@@ -90,6 +90,19 @@
     },
 }
 
+/// Slots of a service, as the broker of one VM counts them.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ServiceUsage {
+    /// Service whose servers have the slots.
+    pub service: ServiceName,
+    /// Whether this VM has selected itself as the home of the service.
+    pub is_home: bool,
+    /// Whether another VM has selected another home than this one has.
+    pub disputed: bool,
+    /// Slots in use and waiting tickets.
+    pub slots: SlotUsage,
+}
+
 /// State that every entry VM gossips to all others.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Gossip {
@@ -378,6 +391,18 @@
         std::mem::take(&mut self.notices)
     }
 
+    /// Returns the slots of each service, as this VM's brokers count them.
+    #[must_use]
+    pub fn service_usage(&self, now: Time) -> Vec<ServiceUsage> {
+        let usage = |(service, broker): (&ServiceName, &Broker)| ServiceUsage {
+            service: service.clone(),
+            is_home: *self.selector.home(service) == self.me,
+            disputed: self.selector.is_disputed(now, service),
+            slots: broker.slot_usage(now),
+        };
+        self.brokers.iter().map(usage).collect()
+    }
+
     /// Returns whether a server of this service was ever known to this VM.
     #[must_use]
     pub fn knows_service(&self, service: &ServiceName) -> bool {
--- a/crates/relay/src/event_loop.rs
+++ b/crates/relay/src/event_loop.rs
@@ -15,7 +15,7 @@
 use arc_swap::ArcSwap;
 use keeper::Spending;
 use model::{Outcome, RequestId, ServerId, ServiceName, VmName};
-use region::Notice;
+use region::{Notice, ServiceUsage};
 use routing::Plan;
 use tokio::sync::oneshot;
 
@@ -28,6 +28,8 @@
 const TICK_INTERVAL: Duration = Duration::from_millis(10);
 /// Interval of the reports to the other entry VMs when nothing changes.
 const IDLE_SHARE_INTERVAL: Duration = Duration::from_millis(200);
+/// Interval at which the slots of services are logged and exported.
+const USAGE_INTERVAL: Duration = Duration::from_secs(1);
 
 enum Command {
     Submit(Box<PlacementRequest>, oneshot::Sender<Placement>),
@@ -48,6 +50,9 @@
 
     /// Returns whether this VM receives answers of control VMs and is not stopping.
     fn is_available(&self) -> bool;
+
+    /// Exports the slots of a service.
+    fn record_usage(&self, usage: &ServiceUsage);
 }
 
 /// Sends commands to the scheduler thread.
@@ -211,6 +216,7 @@
     fn run(mut self, commands: &mpsc::Receiver<Command>) {
         let start = Instant::now();
         let (mut next_tick, mut next_share, mut next_idle_share) = (start, start, start);
+        let mut next_usage = start;
         loop {
             let next = if self.has_changes { next_tick.min(next_share) } else { next_tick };
             match commands.recv_timeout(next.saturating_duration_since(Instant::now())) {
@@ -243,6 +249,15 @@
                 self.share();
             }
             self.scheduler.take_notices().iter().for_each(log_notice);
+            if now >= next_usage {
+                next_usage = now + USAGE_INTERVAL;
+                for usage in self.scheduler.service_usage(clock::since_boot()) {
+                    self.environment.record_usage(&usage);
+                    if usage.is_home || usage.slots.running > 0 {
+                        log_usage(&usage);
+                    }
+                }
+            }
         }
     }
 
@@ -324,3 +339,20 @@
         }
     }
 }
+
+fn log_usage(usage: &ServiceUsage) {
+    let ServiceUsage { service, is_home, disputed, slots } = usage;
+    spdlog::info!(
+        "slots of a service",
+        kv: {
+            service = service.as_str(),
+            is_home = *is_home,
+            disputed = *disputed,
+            slots = slots.slots,
+            free = slots.free,
+            running = slots.running,
+            reported = slots.reported,
+            waiting = format!("{:?}", slots.waiting)
+        }
+    );
+}
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -79,6 +79,16 @@
     /// Number of sends after which the request may have run.
     possible_runs: u32,
     charged: bool,
+    /// Whether the caller has been given the end of its response, or a failure.
+    pub(crate) ended: bool,
+}
+
+impl Drop for RequestTask {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.log_caller_left(0);
+        }
+    }
 }
 
 /// A response whose head has arrived, with the submission that it belongs to.
@@ -141,6 +151,7 @@
             possible_arrivals: 0,
             possible_runs: 0,
             charged: false,
+            ended: false,
             frontend,
             head,
             caller_request,
@@ -168,15 +179,20 @@
                     Ok(response) => return response,
                     Err(failure) => failure,
                 },
-                Err(failure) => return fail(&self.frontend, &self.id, &failure),
+                Err(failure) => return self.fail(&failure),
             };
             if !self.may_resend() {
                 let failure = self.final_failure(failure);
-                return fail(&self.frontend, &self.id, &failure);
+                return self.fail(&failure);
             }
         }
     }
 
+    fn fail(&mut self, failure: &RequestFailure) -> Response<Body> {
+        self.ended = true;
+        fail(&self.frontend, &self.id, failure)
+    }
+
     /// Returns whether a request that may have run can be sent to one more server.
     pub(crate) fn may_resend(&self) -> bool {
         self.route.retry.is_retryable()
@@ -520,13 +536,24 @@
         response
     }
 
+    /// Records that the caller disconnected after it was sent `events` events.
+    pub(crate) fn log_caller_left(&mut self, events: u32) {
+        self.ended = true;
+        self.frontend.meters.count(Operation::CallerLeft);
+        spdlog::info!(
+            "caller left",
+            kv: { id = self.id.as_str(), sends = self.sends, events }
+        );
+    }
+
     pub(crate) fn log_answer(
-        &self,
+        &mut self,
         server: &ServerId,
         status: StatusCode,
         events: u32,
         times: EventTimes,
     ) {
+        self.ended = true;
         self.frontend.meters.count(Operation::Answered);
         let total = self.started.elapsed();
         let first = times.first.map_or(total, |first| first - self.started);
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -13,12 +13,14 @@
 };
 
 use backend::{Client, Timeouts};
+use broker::SlotUsage;
 use error_stack::{Report, ResultExt};
 use host::ControlProtocol;
 use http::StatusCode;
 use meters::Meters;
 use model::{Span, Time, VmName, ZoneName};
 use peer::{Key, Links};
+use region::ServiceUsage;
 use tokio::{net::TcpListener, sync::watch, task::JoinHandle};
 
 use crate::{
@@ -105,6 +107,7 @@
 
 /// The scheduler's access to the sockets and the state of this process.
 struct ProcessEnvironment {
+    meters: Arc<Meters>,
     socket: UdpSocket,
     port: u16,
     stopping: Arc<AtomicBool>,
@@ -129,6 +132,20 @@
         !self.stopping.load(Ordering::Relaxed)
             && clock::since_boot() < last_answer + CONTROL_TIMEOUT
     }
+
+    fn record_usage(&self, usage: &ServiceUsage) {
+        let ServiceUsage { service, slots, .. } = usage;
+        let SlotUsage { free, running, reported, waiting, .. } = *slots;
+        let states = [
+            ("free", free),
+            ("running", running),
+            ("reported", reported),
+            ("waiting", waiting.iter().sum()),
+        ];
+        for (state, count) in states {
+            self.meters.record_slots(service.as_str(), state, count);
+        }
+    }
 }
 
 impl Relay {
@@ -158,6 +175,7 @@
         let last_answer = Arc::new(AtomicU64::new(0));
         let (socket, incoming) = bind_datagrams(config)?;
         let environment = ProcessEnvironment {
+            meters: Arc::clone(&meters),
             socket,
             port: config.load_port,
             stopping: Arc::clone(&stopping),
--- a/crates/relay/src/scheduler.rs
+++ b/crates/relay/src/scheduler.rs
@@ -16,7 +16,7 @@
     AccountName, Announcement, Duty, Fencing, Kind, Outcome, RefusalReason, RequestId, ServerId,
     ServiceName, Span, Ticket, Time, VmName, ZoneName,
 };
-use region::{Frame, GrantDecision, Notice, Region};
+use region::{Frame, GrantDecision, Notice, Region, ServiceUsage};
 use routing::{Plan, Quota};
 
 use crate::{
@@ -347,6 +347,12 @@
         self.region.take_notices()
     }
 
+    /// Returns the slots of each service, as this VM counts them.
+    #[must_use]
+    pub fn service_usage(&self, now: Time) -> Vec<ServiceUsage> {
+        self.region.service_usage(now)
+    }
+
     fn collect_decisions(&mut self, out: &mut Vec<Decision>) {
         for decision in self.region.take_decisions() {
             match decision {
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -114,7 +114,7 @@
     /// Returns a streaming response once its first event has arrived. A failure before that is
     /// returned together with the task, so that it can be reported or another server tried.
     pub(crate) async fn stream(
-        self,
+        mut self,
         response: StartedResponse,
     ) -> Result<Response<Body>, (Box<Self>, RequestFailure)> {
         let mut stream = StreamState {
@@ -155,11 +155,10 @@
             }
             StreamPart::TimedOut => may_have_run(RefusalReason::Timeout),
         };
-        let mut task = self;
         let StartedResponse { submission, server, .. } = stream.response;
         submission.finish(Outcome::Failed);
-        task.avoid(server);
-        Err((Box::new(task), failure))
+        self.avoid(server);
+        Err((Box::new(self), failure))
     }
 
     /// Forwards events until the stream ends, the caller disconnects, or the stream cannot be
@@ -174,11 +173,7 @@
             let part = tokio::select! {
                 biased;
                 () = caller.closed() => {
-                    self.frontend.meters.count(Operation::CallerLeft);
-                    spdlog::info!(
-                        "caller left",
-                        kv: { id = self.id.as_str(), events = stream.events.count() }
-                    );
+                    self.log_caller_left(stream.events.count());
                     return;
                 }
                 part = stream.next(self.deadline, self.route.timeout) => part,
@@ -209,11 +204,17 @@
                 Verdict::MayHaveRun,
                 stream.response.sent,
             );
+            let events = stream.events.count();
             let resumed = tokio::select! {
-                () = caller.closed() => return,
-                resumed = self.resume(stream) => resumed,
+                () = caller.closed() => None,
+                resumed = self.resume(stream) => Some(resumed),
+            };
+            let Some(resumed) = resumed else {
+                self.log_caller_left(events);
+                return;
             };
             let Some(next) = resumed else {
+                self.ended = true;
                 spdlog::info!("stream broken off", kv: { id = self.id.as_str(), why });
                 // If the caller is still connected, the error closes its connection.
                 let _ = caller.send(Err(io::Error::other("the stream broke off"))).await;
