Count each running request at one broker after a change of home

Callers saw 503 for a second on every tier after each planned stop of the entry VM that grants a service, while a quarter to a half of the slots stood empty, and again for as long as VMs disagreed about the home.

Cause: a client VM that selects another home reports its running requests there, but the former home kept them, and reported them to all VMs as load of its own while the selections differed. The last such report counted for its time to live, 1 s, after the dispute was settled.

Ruled out: a leak of ended requests at the home in force; its count without reports equals what the servers run.

Change: the message Leave hands the requests over. The former home leaves them out of its reports at once, and frees their slots after the time in which the new home's report arrives. A VM whose gossip has no report for a service is taken at its word.

--- a/crates/broker/src/action.rs
+++ b/crates/broker/src/action.rs
@@ -110,6 +110,13 @@
     pub unread: u32,
 }
 
+impl ServerLoad {
+    /// Returns the load of a server without requests.
+    pub(crate) fn idle(id: &ServerId) -> Self {
+        Self { id: id.clone(), running: 0, work: 0.0, unread: 0 }
+    }
+}
+
 /// The load that one VM has placed and queued for one service, reported to the other VMs.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct VmLoad {
--- a/crates/broker/src/broker.rs
+++ b/crates/broker/src/broker.rs
@@ -133,17 +133,18 @@
         self.pool.set_vm_load(now, vm, load);
     }
 
+    /// Drops the load report of a VM that no longer sends one.
+    pub fn clear_vm_load(&mut self, vm: &VmName) {
+        self.pool.clear_vm_load(vm);
+    }
+
     /// Returns the load report for the other VMs: the requests that were granted here and have not
     /// ended, and the tickets that wait here.
     #[must_use]
     pub fn load_report(&mut self) -> VmLoad {
         let waiting = self.queue.by_tier();
         self.pool.note_reported(&waiting);
-        VmLoad {
-            servers: self.pool.loads().collect(),
-            slowness: self.pool.take_slowness(),
-            waiting,
-        }
+        VmLoad { servers: self.pool.loads(), slowness: self.pool.take_slowness(), waiting }
     }
 
     /// Records that the answer to a granted request has started.
@@ -357,18 +358,22 @@
     /// holds back other grants by [`warm_up`](Self::warm_up) until the requests are reported, so
     /// that no other ticket takes the slots of those that run.
     pub fn reset_owner(&mut self, owner: &VmName) {
-        self.remove_waiting(owner);
+        for request in self.queue.owned_by(owner) {
+            self.queue.remove(request);
+        }
         for request in self.pool.owned_by(owner) {
             self.pool.end(request);
         }
     }
 
-    /// Drops the waiting tickets of an entry VM that has submitted them to another broker. Its
-    /// running requests keep their slots.
-    pub fn remove_waiting(&mut self, owner: &VmName) {
+    /// Hands over the requests of an entry VM that reports them to another broker from now on. Its
+    /// waiting tickets are dropped. Its running requests are no longer part of this VM's load
+    /// report, and keep their slots here only until the other broker's load report has arrived.
+    pub fn hand_over(&mut self, now: Time, owner: &VmName) {
         for request in self.queue.owned_by(owner) {
             self.queue.remove(request);
         }
+        self.pool.hand_over(now, owner);
     }
 
     /// Advances the time: drops expired servers, handles expired tickets, updates stragglers, and
--- a/crates/broker/src/pool.rs
+++ b/crates/broker/src/pool.rs
@@ -83,6 +83,8 @@
     slowness_at_grant: f64,
     /// Whether its answer has started.
     answer_started: bool,
+    /// When its slot here is freed, if its entry VM reports it to another broker.
+    handed_over: Option<Time>,
 }
 
 impl Running {
@@ -263,13 +265,36 @@
         }
     }
 
-    /// Returns the load that this VM has placed on each server with requests in flight.
-    pub(crate) fn loads(&self) -> impl Iterator<Item = ServerLoad> {
-        let busy = self.servers.iter().filter(|(_, s)| s.running > 0);
-        busy.map(|(id, s)| {
-            let (id, running, work, unread) = (id.clone(), s.running, s.work, s.unread);
-            ServerLoad { id, running, work, unread }
-        })
+    /// Returns the load that this VM has placed on each server with requests in flight, without
+    /// those that another broker reports.
+    pub(crate) fn loads(&self) -> Vec<ServerLoad> {
+        let mut loads: BTreeMap<&ServerId, ServerLoad> = BTreeMap::new();
+        let own = self.running.values().filter(|r| r.handed_over.is_none());
+        for run in own.filter(|r| self.servers.contains_key(&r.server)) {
+            let load = loads.entry(&run.server).or_insert_with(|| ServerLoad::idle(&run.server));
+            load.running += 1;
+            load.work += run.work;
+            if !run.answer_started {
+                load.unread = load.unread.saturating_add(run.ticket.prompt);
+            }
+        }
+        loads.into_values().collect()
+    }
+
+    /// Marks the running requests of an entry VM as reported to another broker. Their slots are
+    /// freed once that broker's load report has arrived.
+    pub(crate) fn hand_over(&mut self, now: Time, owner: &VmName) {
+        let until = now + self.grace;
+        for run in self.running.values_mut().filter(|r| r.owner == *owner) {
+            run.handed_over.get_or_insert(until);
+        }
+    }
+
+    fn end_handed_over(&mut self, now: Time) {
+        let due = self.running.iter().filter(|(_, r)| r.handed_over.is_some_and(|at| at <= now));
+        for request in due.map(|(request, _)| *request).collect::<Vec<_>>() {
+            self.end(request);
+        }
     }
 
     /// Drops expired load reports, servers and granted requests, and updates the state from which
@@ -281,6 +306,7 @@
             self.rebuild_peer_load();
         }
         self.servers.retain(|_, s| s.expires_at > now);
+        self.end_handed_over(now);
         self.expire_grants(now);
         for server in self.servers.values_mut() {
             server.overdue = 0.0;
@@ -458,6 +484,7 @@
             unread,
             slowness_at_grant,
             answer_started: false,
+            handed_over: None,
             ticket,
         };
         let old = self.running.insert(run.ticket.request, run);
@@ -469,6 +496,7 @@
     pub(crate) fn adopt(&mut self, now: Time, running: RunningRequest, latency: &LatencyModel) {
         if let Some(run) = self.running.get_mut(&running.ticket.request) {
             run.confirmed_at = now;
+            run.handed_over = None;
             return;
         }
         let work = latency.total(&running.ticket, false);
@@ -489,6 +517,7 @@
             unread: 0.0,
             slowness_at_grant: 1.0,
             answer_started: false,
+            handed_over: None,
             ticket,
         };
         self.running.insert(run.ticket.request, run);
--- a/crates/broker/src/pool/peers.rs
+++ b/crates/broker/src/pool/peers.rs
@@ -36,11 +36,7 @@
                 server.record_slowness(now, *slowness);
             }
         }
-        for server_load in self.peers.remove(&vm).into_iter().flat_map(|p| p.load.servers) {
-            if let Some(server) = self.servers.get_mut(&server_load.id) {
-                server.peer_load.remove(&server_load);
-            }
-        }
+        self.clear_vm_load(&vm);
         for server_load in &load.servers {
             if let Some(server) = self.servers.get_mut(&server_load.id) {
                 server.peer_load.add(server_load);
@@ -49,6 +45,15 @@
         self.peers.insert(vm, PeerReport { received_at: now, load });
     }
 
+    /// Drops the load that another VM reported.
+    pub(crate) fn clear_vm_load(&mut self, vm: &VmName) {
+        for server_load in self.peers.remove(vm).into_iter().flat_map(|p| p.load.servers) {
+            if let Some(server) = self.servers.get_mut(&server_load.id) {
+                server.peer_load.remove(&server_load);
+            }
+        }
+    }
+
     /// Records the slowness that a server reported to this VM.
     pub(crate) fn record_slowness(&mut self, now: Time, id: &ServerId, slowness: f64) {
         if let Some(server) = self.servers.get_mut(id) {
--- a/crates/region/src/message.rs
+++ b/crates/region/src/message.rs
@@ -50,8 +50,8 @@
         request: RequestId,
     },
     /// Sent by a client VM to the previous home: it has selected another home for the service, to
-    /// which its open requests have moved. The previous home drops those that wait and keeps the
-    /// slots of those that run.
+    /// which its open requests have moved. The previous home drops those that wait, and keeps the
+    /// slots of those that run until it learns of them from the new home.
     Leave {
         /// Service whose home has changed.
         service: ServiceName,
--- a/crates/region/src/region.rs
+++ b/crates/region/src/region.rs
@@ -359,9 +359,11 @@
             self.select_at = now;
         }
         self.selector.record(now, vm.clone(), gossip.able, gossip.homes);
-        for (service, load) in gossip.loads {
-            if let Some(broker) = self.brokers.get_mut(&service) {
-                broker.set_vm_load(now, vm.clone(), load);
+        let mut loads: BTreeMap<ServiceName, VmLoad> = gossip.loads.into_iter().collect();
+        for (service, broker) in &mut self.brokers {
+            match loads.remove(service) {
+                Some(load) => broker.set_vm_load(now, vm.clone(), load),
+                None => broker.clear_vm_load(vm),
             }
         }
     }
--- a/crates/region/src/region/home.rs
+++ b/crates/region/src/region/home.rs
@@ -64,7 +64,7 @@
             }
             Message::Leave { service } => {
                 if let Some(broker) = self.brokers.get_mut(&service) {
-                    broker.remove_waiting(owner);
+                    broker.hand_over(now, owner);
                 }
             }
             // Only homes send these.
--- a/crates/region/tests/region/main.rs
+++ b/crates/region/tests/region/main.rs
@@ -12,6 +12,9 @@
 const HOME_AGREED: Span = Span::from_millis(400);
 /// Longest round trip between two VMs without faults.
 const ROUND_TRIP: Span = Span::from_millis(3);
+/// Time within which requests have moved from a home that is about to stop: a tick, the interval of
+/// the selection, and the time for which the new home waits for reports.
+const HANDOVER_TIME: Span = Span::from_millis(150);
 /// Time within which the requests of a failed home have moved to another one.
 const FAILOVER_TIME: Span = Span::from_millis(450);
 
@@ -90,6 +93,59 @@
     assert_eq!((sim.most_excess, sim.undecided()), (0, 0));
 }
 
+/// Keeps more requests waiting than servers can run, and returns the number granted in `time`.
+fn granted_under_overload(sim: &mut Sim, vms: &[usize], time: Span) -> usize {
+    let (before, end) = (sim.granted().len(), sim.now + time);
+    let mut next = 0;
+    while sim.now < end {
+        while sim.undecided() < 2 * SERVERS * SLOTS {
+            sim.submit(vms[next % vms.len()], 1);
+            next += 1;
+        }
+        sim.advance(Span::from_millis(1));
+    }
+    sim.granted().len() - before
+}
+
+#[test]
+fn slots_are_granted_again_soon_after_a_planned_change_of_home() {
+    let mut sim = Sim::start(6, 8);
+    sim.advance(HOME_AGREED);
+    let home = sim.home(0);
+    let vms: Vec<usize> = (0..6).collect();
+    let before = granted_under_overload(&mut sim, &vms, Span::from_millis(800));
+    sim.announce_stop(home);
+    granted_under_overload(&mut sim, &vms, HANDOVER_TIME);
+    let after = granted_under_overload(&mut sim, &vms, Span::from_millis(800));
+    assert!(10 * after >= 9 * before, "{after} grants after the change, {before} before");
+    sim.drain();
+    assert_eq!((sim.most_excess, sim.undecided()), (0, 0));
+}
+
+#[test]
+fn slots_of_a_former_home_are_used_while_vms_disagree_about_the_home() {
+    let mut sim = Sim::start(6, 9);
+    sim.advance(HOME_AGREED);
+    let vms: Vec<usize> = (0..6).collect();
+    let first_home = sim.home(0);
+    granted_under_overload(&mut sim, &vms, Span::from_millis(200));
+    sim.announce_stop(first_home);
+    granted_under_overload(&mut sim, &vms, HANDOVER_TIME);
+    let home = sim.home(0);
+    // One VM does not hear from the home that the others have selected.
+    let other = vms.iter().copied().find(|n| ![home, first_home].contains(n)).unwrap();
+    sim.block_gossip(home, other);
+    granted_under_overload(&mut sim, &vms, Span::from_secs(2));
+    assert_ne!(sim.home(other), home);
+    let (all, steps) = (SERVERS * SLOTS, 500);
+    let mut idle = 0;
+    for _ in 0..steps {
+        granted_under_overload(&mut sim, &vms, Span::from_millis(1));
+        idle += all.saturating_sub(sim.running());
+    }
+    assert!(10 * idle <= all * steps, "{} of {all} slots are idle", idle / steps);
+}
+
 #[test]
 fn each_side_of_a_partition_has_a_home() {
     let mut sim = Sim::start(6, 5);
--- a/crates/region/tests/region/sim.rs
+++ b/crates/region/tests/region/sim.rs
@@ -55,6 +55,8 @@
     pub(crate) loss: f64,
     /// Longest delay of a datagram, in microseconds.
     pub(crate) delay_us: u64,
+    /// Pairs of sender and receiver between which gossip is lost.
+    blocked: BTreeSet<(usize, usize)>,
     /// VMs on one side of a partition, which can reach only each other.
     isolated: BTreeSet<usize>,
     requests: BTreeMap<RequestId, Request>,
@@ -114,6 +116,7 @@
             sent: 0,
             loss: 0.0,
             delay_us: 500,
+            blocked: BTreeSet::new(),
             isolated: BTreeSet::new(),
             requests: BTreeMap::new(),
             at_servers: BTreeMap::new(),
@@ -132,6 +135,7 @@
     fn start_process(&mut self, n: usize) -> Vm {
         self.incarnations += 1;
         let mut region = Region::new(vm_name(n), self.incarnations);
+        region.set_grace(Span::from_millis(2 * GOSSIP_MS));
         for server in 0..SERVERS {
             let id = server_id(server);
             let state = (Duty::Serving, Some(announcement(server)));
@@ -182,7 +186,10 @@
                 && (at.is_multiple_of(GOSSIP_MS) || self.vms[n].region.has_changes())
             {
                 let gossip = self.vms[n].region.gossip(self.now);
-                for to in (0..self.vms.len()).filter(|to| *to != n) {
+                for to in 0..self.vms.len() {
+                    if to == n || self.blocked.contains(&(n, to)) {
+                        continue;
+                    }
                     self.send(n, to, &Datagram::Gossip(vm_name(n), gossip.clone()));
                 }
             }
@@ -315,6 +322,11 @@
         self.vms[vm].region.set_eligible(false);
     }
 
+    /// Loses all gossip from one VM to another.
+    pub(crate) fn block_gossip(&mut self, from: usize, to: usize) {
+        self.blocked.insert((from, to));
+    }
+
     /// Partitions the network between these VMs and the others.
     pub(crate) fn partition(&mut self, vms: &[usize]) {
         self.isolated = vms.iter().copied().collect();
