List stopping entry VMs for those that start

Cause: control VMs left stopping entry VMs out of the list that they give to others. A VM that started meanwhile, and became the home, sent its gossip to listed VMs only. The stopping VMs, which finish requests for up to eight seconds, did not hear it, took it for lost, and kept another home, so that the slots were granted by two VMs.

Evidence: the VMs that selected hereford-2 after 37.5 s are the ones that logged 'stopping as planned' before; shropshire-2, home of the others, had started at 36.63 s with 17 entry VMs listed, and got the others as they restarted.

Change: an entry VM is listed as long as it polls. It is no candidate for a home anyway: it gossips that it is not eligible. Quotas and retry budgets count it as one of the VMs among which they are divided, which it is.

Test, failing before: keeper: a_starting_vm_learns_of_vms_that_are_stopping.

--- a/crates/keeper/src/machine.rs
+++ b/crates/keeper/src/machine.rs
@@ -165,9 +165,8 @@
     pub(crate) peers: BTreeMap<VmName, Peer>,
     /// Control VMs that receive heartbeats, and when each was last seen.
     pub(crate) contacts: BTreeMap<VmName, Time>,
-    /// Entry VMs by name, with the time of the last poll, the availability zone, and whether the VM
-    /// is shutting down.
-    pub(crate) entry_vms: BTreeMap<VmName, (Time, ZoneName, bool)>,
+    /// Entry VMs by name, with the time of the last poll and the availability zone.
+    pub(crate) entry_vms: BTreeMap<VmName, (Time, ZoneName)>,
     /// The last report of each entry VM and lineage, with its time. The usage of a process that
     /// ended still counts against the quotas.
     pub(crate) spending: BTreeMap<(VmName, u64), (Time, Spending)>,
--- a/crates/keeper/src/membership.rs
+++ b/crates/keeper/src/membership.rs
@@ -92,7 +92,7 @@
         // them.
         let seeds = &self.setup.seeds;
         self.contacts.retain(|vm, last_seen| seeds.contains(vm) || now < *last_seen + FORGET_AFTER);
-        self.entry_vms.retain(|_, (last_seen, _, _)| now < *last_seen + PEER_TIMEOUT);
+        self.entry_vms.retain(|_, (last_seen, _)| now < *last_seen + PEER_TIMEOUT);
         self.spending.retain(|_, (at, _)| now < *at + SPENDING_WINDOW);
         self.registry.expire(now, self.setup.silence);
     }
--- a/crates/keeper/src/syncs.rs
+++ b/crates/keeper/src/syncs.rs
@@ -24,7 +24,7 @@
 
 impl Keeper {
     pub(crate) fn on_sync(&mut self, call_id: u64, from: VmName, sync: Sync) {
-        let entry = (self.now, sync.zone.clone(), sync.stopping);
+        let entry = (self.now, sync.zone.clone());
         self.entry_vms.insert(from.clone(), entry);
         // A starting VM has not yet received the usage of its previous process, so that record is
         // not overwritten.
@@ -45,8 +45,8 @@
     /// Returns a digest of the known entry VMs and live control VMs, compared to detect changes.
     pub(crate) fn members_digest(&self) -> u64 {
         let mut hasher = DefaultHasher::new();
-        for (vm, (_, zone, stopping)) in &self.entry_vms {
-            (vm, zone, stopping).hash(&mut hasher);
+        for (vm, (_, zone)) in &self.entry_vms {
+            (vm, zone).hash(&mut hasher);
         }
         self.live_controls().hash(&mut hasher);
         hasher.finish()
@@ -91,7 +91,6 @@
     pub(crate) fn sync_answer(&self, sync: &Sync) -> Synced {
         let plan = self.replica.state();
         let current = self.registry_version();
-        let entries = self.entry_vms.iter().filter(|(_, (_, _, stopping))| !stopping);
         let known = if sync.registry.0 == current.0 { sync.registry.1 } else { 0 };
         Synced {
             current: self.replica.is_current(self.now),
@@ -100,7 +99,11 @@
             registry: current,
             servers: self.registry.changed_since(known).collect(),
             controls: self.live_controls(),
-            entries: entries.map(|(vm, (_, zone, _))| (vm.clone(), zone.clone())).collect(),
+            entries: self
+                .entry_vms
+                .iter()
+                .map(|(vm, (_, zone))| (vm.clone(), zone.clone()))
+                .collect(),
             spent: if sync.starting { self.recent_spending() } else { None },
         }
     }
--- a/crates/keeper/src/wire.rs
+++ b/crates/keeper/src/wire.rs
@@ -108,7 +108,8 @@
     pub incarnation: u64,
     /// Availability zone of the entry VM.
     pub zone: ZoneName,
-    /// Whether the entry VM is shutting down, so that it is no longer listed for the others.
+    /// Whether the entry VM is shutting down. It is listed for the others as long as it polls, since
+    /// it still exchanges messages about the requests that it finishes.
     pub stopping: bool,
     /// Version of the plan that the entry VM has; 0 if none.
     pub plan: u64,
@@ -137,7 +138,7 @@
     pub servers: Vec<ServerStatus>,
     /// The sender and the control VMs from which it received a heartbeat recently.
     pub controls: Vec<VmName>,
-    /// Entry VMs that polled recently and are not shutting down, with their availability zones.
+    /// Entry VMs that polled recently, with their availability zones.
     pub entries: Vec<(VmName, ZoneName)>,
     /// Recent quota usage of all entry VMs, for one that is starting; `None` otherwise, and if the
     /// sender has not run long enough to know all of it.
--- a/crates/keeper/tests/control/registry.rs
+++ b/crates/keeper/tests/control/registry.rs
@@ -12,6 +12,36 @@
     registry.get(&id.try_into().unwrap()).map(|s| s.phase)
 }
 
+/// The poll of an entry VM that knows nothing yet.
+fn sync(incarnation: u64) -> Sync {
+    Sync {
+        incarnation,
+        zone: "zone-0".try_into().unwrap(),
+        stopping: false,
+        plan: 0,
+        registry: (0, 0),
+        spent: Spending::default(),
+        starting: false,
+    }
+}
+
+#[test]
+fn a_starting_vm_learns_of_vms_that_are_stopping() {
+    let mut sim = Sim::new(1, &[1], 0);
+    sim.start(1, true);
+    sim.run(1_000);
+    let stopping = Sync { stopping: true, ..sync(1) };
+    sim.call(&vm(1), 1, Call::Sync { from: vm(8), sync: stopping });
+    sim.run(100);
+    sim.call(&vm(1), 2, Call::Sync { from: vm(9), sync: sync(2) });
+    sim.run(500);
+    let Answer::Synced(synced) = &sim.answers[&2] else {
+        panic!("not answered");
+    };
+    let listed: Vec<_> = synced.entries.iter().map(|(vm, _)| vm.clone()).collect();
+    assert_eq!(listed, [vm(8), vm(9)]);
+}
+
 #[test]
 fn a_late_announcement_is_ignored() {
     let mut registry = Registry::default();
@@ -76,15 +106,7 @@
         // The acknowledged departure survives the immediate loss of that VM.
         sim.wipe(1);
         sim.run(500);
-        let sync = Sync {
-            incarnation: 1,
-            zone: "zone-0".try_into().unwrap(),
-            stopping: false,
-            plan: 0,
-            registry: (0, 0),
-            spent: Spending::default(),
-            starting: false,
-        };
+        let sync = sync(1);
         let mut listed = 0;
         for (call_id, n) in [(4, 2), (5, 3)] {
             sim.call(&vm(n), call_id, Call::Sync { from: vm(9), sync: sync.clone() });
