Limit the head of a response and the memory for response bodies

A backend server in trouble may send bytes that are no answer without end. Callers waited until their deadline, while the entry VM read at the speed of the network.

Change: a connection fails after 1 MiB without the end of a head, a body after 64 MiB, and bodies of more than 64 KiB are buffered only while all buffered bodies together have less than 64 MiB. hyper closes the other cases (a head that is too large, chunk extensions, trailers), with its buffer set to 64 KiB. Failures of connections name their cause in the logs.

--- a/crates/backend/src/client.rs
+++ b/crates/backend/src/client.rs
@@ -6,6 +6,7 @@
 
 use std::{
     collections::HashMap,
+    error::Error,
     net::SocketAddr,
     sync::{Arc, Mutex, PoisonError},
     time::{Duration, Instant},
@@ -19,7 +20,11 @@
 use socket2::{SockRef, TcpKeepalive};
 use tokio::{net::TcpStream, time::timeout};
 
-use crate::{exchange::Exchange, failure::Failure};
+use crate::{
+    exchange::Exchange,
+    failure::Failure,
+    limits::{Buffered, HeadAllowance, LimitedStream, MAX_HEAD},
+};
 
 /// Header that carries the request's id to the backend server.
 ///
@@ -36,7 +41,18 @@
 const KEEPALIVE_PROBES: u32 = 2;
 
 /// The sending half of an HTTP/1 connection.
-pub(crate) type Connection = SendRequest<Full<Bytes>>;
+#[derive(Debug)]
+pub(crate) struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    allowance: HeadAllowance,
+}
+
+impl Connection {
+    /// Waits until the last exchange has ended. Returns whether the connection is open.
+    pub(crate) async fn is_reusable(&mut self) -> bool {
+        self.sender.ready().await.is_ok()
+    }
+}
 
 /// Timeouts for the exchange with a backend server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -62,8 +78,9 @@
 /// Sends requests to backend servers. Clones share the pool of idle connections.
 #[derive(Clone, Debug)]
 pub struct Client {
-    timeouts: Timeouts,
-    pool: IdlePool,
+    pub(crate) timeouts: Timeouts,
+    pub(crate) pool: IdlePool,
+    pub(crate) buffered: Buffered,
 }
 
 /// Idle connections that can be reused, by address of the backend server.
@@ -85,7 +102,7 @@
         let now = Instant::now();
         let connections = pool.get_mut(&address)?;
         while let Some(IdleConnection { connection, expires }) = connections.pop() {
-            if connection.is_ready() && expires.is_none_or(|expires| now < expires) {
+            if connection.sender.is_ready() && expires.is_none_or(|expires| now < expires) {
                 return Some(connection);
             }
         }
@@ -103,8 +120,9 @@
         let mut pool = self.0.lock().unwrap_or_else(PoisonError::into_inner);
         let now = Instant::now();
         let connections = pool.entry(address).or_default();
-        connections
-            .retain(|c| !c.connection.is_closed() && c.expires.is_none_or(|expires| now < expires));
+        connections.retain(|c| {
+            !c.connection.sender.is_closed() && c.expires.is_none_or(|expires| now < expires)
+        });
         if connections.len() < MAX_IDLE {
             connections.push(IdleConnection {
                 connection,
@@ -118,7 +136,13 @@
     /// Creates a client without open connections.
     #[must_use]
     pub fn new(timeouts: Timeouts) -> Self {
-        Self { timeouts, pool: IdlePool::default() }
+        Self { timeouts, pool: IdlePool::default(), buffered: Buffered::default() }
+    }
+
+    /// Returns the number of bytes of response bodies that are being buffered.
+    #[must_use]
+    pub fn buffered_bytes(&self) -> usize {
+        self.buffered.bytes()
     }
 
     /// Sends a request at most once and waits for the head of the response.
@@ -161,13 +185,18 @@
             .map_err(|e| not_sent(e.to_string()))?;
         stream.set_nodelay(true).map_err(|e| not_sent(e.to_string()))?;
         detect_broken_path(&stream).map_err(|e| not_sent(e.to_string()))?;
-        let (connection, driver) =
-            http1::handshake(TokioIo::new(stream)).await.map_err(|e| not_sent(e.to_string()))?;
+        let allowance = HeadAllowance::unlimited();
+        let stream = LimitedStream::new(stream, allowance.clone());
+        let (sender, driver) = http1::Builder::new()
+            .max_buf_size(MAX_HEAD)
+            .handshake(TokioIo::new(stream))
+            .await
+            .map_err(|e| not_sent(e.to_string()))?;
         tokio::spawn(async move {
             // The sending half reports the same errors to its user.
             let _ = driver.await;
         });
-        Ok(connection)
+        Ok(Connection { sender, allowance })
     }
 
     /// Sends a request on one connection. Returns the request as the outer error if no byte of it
@@ -179,26 +208,31 @@
         id: &str,
         request: Request<Full<Bytes>>,
     ) -> Result<Result<Exchange, Failure>, Request<Full<Bytes>>> {
-        if connection.ready().await.is_err() {
+        if !connection.is_reusable().await {
             return Err(request);
         }
-        let result = timeout(self.timeouts.head, connection.try_send_request(request)).await;
+        connection.allowance.start();
+        let result = timeout(self.timeouts.head, connection.sender.try_send_request(request)).await;
         let response = match result {
             Err(_) => return Ok(Err(Failure::Timeout)),
             Ok(Err(mut error)) => {
                 return match error.take_message() {
                     Some(request) => Err(request),
-                    None => Ok(Err(Failure::Broken { why: error.into_error().to_string() })),
+                    None => Ok(Err(Failure::Broken { why: describe(&error.into_error()) })),
                 };
             }
             Ok(Ok(response)) => response,
         };
-        let pool = self.pool.clone();
-        let exchange = Exchange::new(response, connection, address, pool, self.timeouts.idle);
-        Ok(exchange.check_id(id))
+        connection.allowance.end();
+        Ok(Exchange::new(response, connection, address, self).check_id(id))
     }
 }
 
+/// Returns the text of an error with its cause, which hyper's own text leaves out.
+pub(crate) fn describe(error: &hyper::Error) -> String {
+    error.source().map_or_else(|| error.to_string(), |cause| format!("{error}: {cause}"))
+}
+
 /// Sets the user timeout and keepalive of a socket, so that the kernel closes the connection when
 /// the network path fails without a reset.
 fn detect_broken_path(stream: &TcpStream) -> std::io::Result<()> {
--- a/crates/backend/src/exchange.rs
+++ b/crates/backend/src/exchange.rs
@@ -12,8 +12,9 @@
 use tokio::time::timeout;
 
 use crate::{
-    client::{Connection, IdlePool, REQUEST_ID},
+    client::{Client, Connection, IdlePool, REQUEST_ID, describe},
     failure::Failure,
+    limits::{Buffered, MAX_BODY},
 };
 
 /// Fraction of the timeout announced in the `keep-alive` header for which an idle connection is
@@ -33,6 +34,9 @@
     address: SocketAddr,
     pool: IdlePool,
     idle_timeout: Duration,
+    /// Number of body bytes received so far.
+    received: u64,
+    buffered: Buffered,
 }
 
 impl Exchange {
@@ -40,8 +44,7 @@
         response: Response<Incoming>,
         connection: Connection,
         address: SocketAddr,
-        pool: IdlePool,
-        idle_timeout: Duration,
+        client: &Client,
     ) -> Self {
         let (parts, body) = response.into_parts();
         Self {
@@ -50,8 +53,10 @@
             body,
             connection: Some(connection),
             address,
-            pool,
-            idle_timeout,
+            pool: client.pool.clone(),
+            idle_timeout: client.timeouts.idle,
+            received: 0,
+            buffered: client.buffered.clone(),
         }
     }
 
@@ -82,8 +87,8 @@
     ///
     /// # Errors
     ///
-    /// Returns [`Failure::Broken`] if the connection fails before the end, and [`Failure::Timeout`]
-    /// if no piece arrives within the idle timeout.
+    /// Returns [`Failure::Broken`] if the connection fails before the end or the body is longer than
+    /// 64 MiB, and [`Failure::Timeout`] if no piece arrives within the idle timeout.
     pub async fn chunk(&mut self) -> Result<Option<Bytes>, Failure> {
         loop {
             let frame = timeout(self.idle_timeout, self.body.frame()).await;
@@ -93,10 +98,14 @@
                     return Ok(None);
                 }
                 Some(Err(error)) => {
-                    return Err(Failure::Broken { why: error.to_string() });
+                    return Err(Failure::Broken { why: describe(&error) });
                 }
                 Some(Ok(frame)) => {
                     if let Ok(data) = frame.into_data() {
+                        self.received = self.received.saturating_add(data.len() as u64);
+                        if self.received > MAX_BODY {
+                            return Err(too_long(MAX_BODY));
+                        }
                         return Ok(Some(data));
                     }
                 }
@@ -115,12 +124,17 @@
     ///
     /// # Errors
     ///
-    /// As [`Exchange::chunk`], and [`Failure::Broken`] if the body is longer than `max` bytes.
+    /// As [`Exchange::chunk`], and [`Failure::Broken`] if the body is longer than `max` bytes, or if
+    /// it is longer than 64 KiB while bodies of 64 MiB in all are being buffered.
     pub async fn read(&mut self, max: usize) -> Result<Bytes, Failure> {
         let mut body = Vec::new();
+        let mut count = self.buffered.count();
         while let Some(chunk) = self.chunk().await? {
             if body.len() + chunk.len() > max {
-                return Err(Failure::Broken { why: format!("longer than {max} bytes") });
+                return Err(too_long(max as u64));
+            }
+            if !count.add(chunk.len()) {
+                return Err(Failure::Broken { why: "no memory for a response this long".into() });
             }
             body.extend_from_slice(&chunk);
         }
@@ -136,13 +150,17 @@
         let (pool, address) = (self.pool.clone(), self.address);
         let lifetime = keep_alive_lifetime(&self.headers);
         tokio::spawn(async move {
-            if connection.ready().await.is_ok() {
+            if connection.is_reusable().await {
                 pool.put(address, connection, lifetime);
             }
         });
     }
 }
 
+fn too_long(max: u64) -> Failure {
+    Failure::Broken { why: format!("longer than {max} bytes") }
+}
+
 /// Returns how long an idle connection may be reused: [`KEEP_ALIVE_FRACTION`] of the timeout that
 /// the server announced, or `None` if it announced none.
 fn keep_alive_lifetime(headers: &HeaderMap) -> Option<Duration> {
--- a/crates/backend/src/lib.rs
+++ b/crates/backend/src/lib.rs
@@ -3,10 +3,14 @@
 //! The client sends a request at most once and never retries it. It reuses a connection only after
 //! the last response on it was read to the end. It closes a connection whose exchange was
 //! abandoned, so that a late response can never be taken for the response to another request.
+//!
+//! Heads, bodies and the memory for buffered bodies are limited, so that a server that sends without
+//! end causes a failure.
 
 mod client;
 mod exchange;
 mod failure;
+mod limits;
 mod stream;
 
 pub use crate::{
--- /dev/null
+++ b/crates/backend/src/limits.rs
@@ -0,0 +1,150 @@
+//! Limits on the bytes that a backend server may send.
+
+use std::{
+    io,
+    pin::Pin,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    task::{Context, Poll},
+};
+
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+
+/// Maximum size of the head of a response, in bytes.
+pub(crate) const MAX_HEAD: usize = 64 << 10;
+/// Maximum number of bytes of a response up to the end of its head. It exceeds [`MAX_HEAD`] by the
+/// interim responses before it and by bytes of the body that arrive with it.
+const MAX_BEFORE_BODY: usize = 1 << 20;
+/// Maximum size of the body of a response, in bytes.
+pub(crate) const MAX_BODY: u64 = 64 << 20;
+/// Maximum size of a body that is buffered whatever the others hold, in bytes.
+const SMALL_BODY: usize = 64 << 10;
+/// Maximum number of bytes of all buffered bodies above which only small ones are buffered.
+const MAX_BUFFERED: usize = 64 << 20;
+
+/// The bytes that a connection may still receive before the head of the current response ends.
+#[derive(Clone, Debug)]
+pub(crate) struct HeadAllowance(Arc<AtomicUsize>);
+
+impl HeadAllowance {
+    pub(crate) fn unlimited() -> Self {
+        Self(Arc::new(AtomicUsize::new(usize::MAX)))
+    }
+
+    /// Starts to count the bytes of the next response.
+    pub(crate) fn start(&self) {
+        self.0.store(MAX_BEFORE_BODY, Ordering::Relaxed);
+    }
+
+    /// Ends the limit once the head has arrived.
+    pub(crate) fn end(&self) {
+        self.0.store(usize::MAX, Ordering::Relaxed);
+    }
+
+    /// Counts received bytes. Returns whether they are allowed.
+    fn count(&self, bytes: usize) -> bool {
+        let take = |left: usize| {
+            if left == usize::MAX { Some(left) } else { left.checked_sub(bytes) }
+        };
+        self.0.try_update(Ordering::Relaxed, Ordering::Relaxed, take).is_ok()
+    }
+}
+
+/// A connection that fails once more bytes than allowed arrive before the end of a head.
+#[derive(Debug)]
+pub(crate) struct LimitedStream<S> {
+    stream: S,
+    allowance: HeadAllowance,
+}
+
+impl<S> LimitedStream<S> {
+    pub(crate) fn new(stream: S, allowance: HeadAllowance) -> Self {
+        Self { stream, allowance }
+    }
+}
+
+impl<S: AsyncRead + Unpin> AsyncRead for LimitedStream<S> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        std::task::ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
+        if !self.allowance.count(buffer.filled().len() - before) {
+            let why = format!("no response head within {MAX_BEFORE_BODY} bytes");
+            return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, why)));
+        }
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl<S: AsyncWrite + Unpin> AsyncWrite for LimitedStream<S> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(context, bytes)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
+
+/// The bytes of bodies that are being buffered, over all exchanges of a client.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Buffered(Arc<AtomicUsize>);
+
+impl Buffered {
+    pub(crate) fn bytes(&self) -> usize {
+        self.0.load(Ordering::Relaxed)
+    }
+
+    /// Starts to count the bytes of one body.
+    pub(crate) fn count(&self) -> BodyCount {
+        BodyCount { total: self.clone(), bytes: 0 }
+    }
+}
+
+/// The buffered bytes of one body; they no longer count once it is dropped.
+#[derive(Debug)]
+pub(crate) struct BodyCount {
+    total: Buffered,
+    bytes: usize,
+}
+
+impl BodyCount {
+    /// Adds bytes. Returns whether they may be buffered: a small body always, a larger one as long
+    /// as all bodies together are below the limit.
+    pub(crate) fn add(&mut self, bytes: usize) -> bool {
+        self.bytes += bytes;
+        let total = self.total.0.fetch_add(bytes, Ordering::Relaxed) + bytes;
+        self.bytes <= SMALL_BODY || total <= MAX_BUFFERED
+    }
+}
+
+impl Drop for BodyCount {
+    fn drop(&mut self) {
+        self.total.0.fetch_sub(self.bytes, Ordering::Relaxed);
+    }
+}
