Limit the bytes of a stream without a new event

The entry VM kept the bytes of an event until its end. From a server that sends no end of an event, or repeats events that the caller has, it read until the deadline: memory without a limit for the first, and 504 to the caller although another server could have gone on. Each piece was also searched for line ends from the start again.

Change: after 256 KiB without a new whole event the send has failed; the stream goes on at another server where the route allows it, and breaks off with a marked failure where not. The search goes on where it ended.

--- a/crates/relay/src/events.rs
+++ b/crates/relay/src/events.rs
@@ -3,17 +3,38 @@
 //! The ids of the events tell which of them the caller already has when a stream is resumed at
 //! another server.
 
+use std::fmt;
+
 use bytes::{Bytes, BytesMut};
 
-/// Events are missing between two consecutive events of a stream.
+/// Maximum number of bytes without a new whole event, in a single event or in repeated ones.
+const MAX_PENDING: usize = 256 << 10;
+
+/// The bytes are not the continuation of the stream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct EventGap {
-    /// Id of the last event before the gap.
-    pub last: u64,
-    /// Id of the first event after the gap.
-    pub next: u64,
+pub enum EventError {
+    /// Events are missing between two consecutive events.
+    Gap {
+        /// Id of the last event before the gap.
+        last: u64,
+        /// Id of the first event after the gap.
+        next: u64,
+    },
+    /// No new event ended within 256 KiB.
+    TooLong,
 }
 
+impl fmt::Display for EventError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Gap { last, next } => write!(f, "event {next} after {last}"),
+            Self::TooLong => write!(f, "no whole event within {MAX_PENDING} bytes"),
+        }
+    }
+}
+
+impl std::error::Error for EventError {}
+
 /// Returns whole events only, so that a stream that breaks off can be resumed at another server
 /// after the last whole event.
 ///
@@ -31,6 +52,10 @@
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     partial: BytesMut,
+    /// Start of the first line of `partial` that may end an event.
+    line_start: usize,
+    /// Bytes of repeated events since the last new one.
+    repeated: usize,
     last: Option<u64>,
     count: u32,
 }
@@ -40,7 +65,7 @@
     /// this or a smaller id are left out.
     #[must_use]
     pub fn resume_after(last: Option<u64>) -> Self {
-        Self { partial: BytesMut::new(), last, count: 0 }
+        Self { last, ..Self::default() }
     }
 
     /// Returns the id of the last whole event that was returned or that the caller had before.
@@ -60,26 +85,46 @@
     ///
     /// # Errors
     ///
-    /// Returns an [`EventGap`] if events are missing: the id of an event is greater than the
-    /// successor of the last one.
-    pub fn push(&mut self, bytes: &[u8]) -> Result<Bytes, EventGap> {
+    /// Returns an error if events are missing, because the id of an event is greater than the
+    /// successor of the last one, or if an event is too long or too many are repeated.
+    pub fn push(&mut self, bytes: &[u8]) -> Result<Bytes, EventError> {
         self.partial.extend_from_slice(bytes);
         let mut whole = BytesMut::new();
-        while let Some(len) = event_len(&self.partial) {
+        while let Some(len) = self.event_len() {
             let event = self.partial.split_to(len);
+            self.line_start = 0;
             if self.accept_event(&event)? {
+                self.repeated = 0;
                 whole.extend_from_slice(&event);
+            } else {
+                self.repeated += len;
             }
         }
+        if self.partial.len() + self.repeated > MAX_PENDING {
+            return Err(EventError::TooLong);
+        }
         Ok(whole.freeze())
     }
 
+    /// Returns the length of the first event, including the empty line that ends it.
+    fn event_len(&mut self) -> Option<usize> {
+        while let Some(len) = self.partial[self.line_start..].iter().position(|b| *b == b'\n') {
+            let line = &self.partial[self.line_start..self.line_start + len];
+            let ends_event = line.is_empty() || line == b"\r";
+            self.line_start += len + 1;
+            if ends_event {
+                return Some(self.line_start);
+            }
+        }
+        None
+    }
+
     /// Records the id of a whole event. Returns whether the event is new to the caller.
-    fn accept_event(&mut self, event: &[u8]) -> Result<bool, EventGap> {
+    fn accept_event(&mut self, event: &[u8]) -> Result<bool, EventError> {
         if let Some(next) = event_id(event) {
             match self.last {
                 Some(last) if next <= last => return Ok(false),
-                Some(last) if next > last + 1 => return Err(EventGap { last, next }),
+                Some(last) if next > last + 1 => return Err(EventError::Gap { last, next }),
                 _ => self.last = Some(next),
             }
         }
@@ -90,29 +135,16 @@
     /// Discards the incomplete event at the end of a stream that broke off.
     pub fn discard_partial(&mut self) {
         self.partial.clear();
+        self.line_start = 0;
     }
 
     /// Takes the bytes after the last whole event, once the stream has ended.
     pub fn take_partial(&mut self) -> Bytes {
+        self.line_start = 0;
         self.partial.split().freeze()
     }
 }
 
-/// Returns the length of the first event, including the empty line that ends it.
-fn event_len(bytes: &[u8]) -> Option<usize> {
-    let mut line_start = 0;
-    for (at, byte) in bytes.iter().enumerate() {
-        if *byte == b'\n' {
-            let line = &bytes[line_start..at];
-            if line.is_empty() || line == b"\r" {
-                return Some(at + 1);
-            }
-            line_start = at + 1;
-        }
-    }
-    None
-}
-
 fn event_id(event: &[u8]) -> Option<u64> {
     let text = std::str::from_utf8(event).ok()?;
     let id = text.lines().find_map(|line| line.strip_prefix("id:"))?;
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -26,7 +26,7 @@
     datagram::LoadReport,
     dialect::{CallerRequest, Dialect, ForwardInfo, RequestFailure, ResponseInfo},
     error::Error,
-    events::{EventGap, EventSplitter},
+    events::{EventError, EventSplitter},
     listen::serve_probes,
     node::{Relay, RelayConfig},
     quota::{QuotaConfig, Quotas, RelayedUsage, UsageReport},
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -90,12 +90,7 @@
                         self.times.record(Instant::now());
                         return StreamPart::Events(whole);
                     }
-                    Err(gap) => {
-                        return StreamPart::Broken(format!(
-                            "event {} after {}",
-                            gap.next, gap.last
-                        ));
-                    }
+                    Err(error) => return StreamPart::Broken(error.to_string()),
                 },
             }
         }
