End a chat stream whose line does not end

On a node without roles, a model engine that sends bytes without a line break was passed on to the caller without end and without a mark.

Change: a line of more than 256 KiB breaks the stream off with an error event, and the connection is closed. The stand-in can send heads and bodies without end.

Test: faults: answer_without_end_fails_and_its_connection_is_closed, for streams, whole answers, orders and plain reads.

--- a/crates/backend/src/stream.rs
+++ b/crates/backend/src/stream.rs
@@ -10,12 +10,14 @@
     Open,
     /// The end marker has arrived.
     Complete,
+    /// A line is longer than 256 KiB, so the bytes are not a stream of events.
+    Invalid,
 }
 
 /// Data of the event that ends a chat-completion stream.
 const END_MARKER: &[u8] = b"[DONE]";
-/// Maximum number of bytes of a line that are inspected. A longer line counts as data.
-const MAX_LINE_BYTES: usize = 1 << 20;
+/// Maximum number of bytes of a line.
+const MAX_LINE_BYTES: usize = 256 << 10;
 
 /// Counts the data lines of a stream and detects its end marker, however the bytes are split.
 ///
@@ -35,6 +37,7 @@
     line: Vec<u8>,
     events: u32,
     complete: bool,
+    invalid: bool,
 }
 
 impl StreamReader {
@@ -45,6 +48,8 @@
                 self.end_line();
             } else if self.line.len() < MAX_LINE_BYTES {
                 self.line.push(*byte);
+            } else {
+                self.invalid = true;
             }
         }
     }
@@ -68,9 +73,13 @@
         self.events
     }
 
-    /// Returns whether the end marker has arrived.
+    /// Returns the progress of the stream.
     #[must_use]
     pub fn state(&self) -> StreamState {
-        if self.complete { StreamState::Complete } else { StreamState::Open }
+        match (self.complete, self.invalid) {
+            (true, _) => StreamState::Complete,
+            (false, true) => StreamState::Invalid,
+            (false, false) => StreamState::Open,
+        }
     }
 }
--- a/crates/entry/src/chat.rs
+++ b/crates/entry/src/chat.rs
@@ -176,21 +176,15 @@
     match chunk {
         Ok(Some(bytes)) => {
             forwarded.observe(&bytes);
+            if forwarded.reader.state() == StreamState::Invalid {
+                return Some(forwarded.break_off("the response is not a stream of events").await);
+            }
             Some((Ok(bytes), forwarded))
         }
         Ok(None) if forwarded.reader.state() == StreamState::Complete => None,
         // The response was complete, so a failure after its end marker does not matter.
         Err(_) if forwarded.complete => None,
-        Ok(None) => {
-            forwarded.running.submission.finish(Outcome::Failed);
-            let failure = RequestFailure {
-                reason: RefusalReason::Broken,
-                verdict: Verdict::MayHaveRun,
-                retry_after: None,
-                message: "the stream ended without its end marker".into(),
-            };
-            Some(forwarded.end_with_error(failure).await)
-        }
+        Ok(None) => Some(forwarded.break_off("the stream ended without its end marker").await),
         Err(failure) => {
             forwarded.running.submission.finish(Outcome::Failed);
             let request_failure =
@@ -224,6 +218,18 @@
         self.context.mark_answered();
     }
 
+    /// Ends a stream that is not complete.
+    async fn break_off(mut self, message: &str) -> (io::Result<Bytes>, Self) {
+        self.running.submission.finish(Outcome::Failed);
+        let failure = RequestFailure {
+            reason: RefusalReason::Broken,
+            verdict: Verdict::MayHaveRun,
+            retry_after: None,
+            message: message.into(),
+        };
+        self.end_with_error(failure).await
+    }
+
     /// Ends the stream with an error event, so that the caller does not take it for complete.
     async fn end_with_error(mut self, failure: RequestFailure) -> (io::Result<Bytes>, Self) {
         let error_body = self.context.fail(failure).await;
--- a/crates/fuchsiausher/tests/faults.rs
+++ b/crates/fuchsiausher/tests/faults.rs
@@ -1,6 +1,6 @@
 //! Failures of backend servers, callers that leave, and invalid input, over real sockets.
 
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use entry::ErrorBody;
 use fuchsiausher::{TestCluster, TestClusterConfig, chat_body};
@@ -131,6 +131,46 @@
     cluster.stop().await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn answer_without_end_fails_and_its_connection_is_closed() {
+    /// Bytes of an answer that a VM takes at most, with those that the kernel holds.
+    const MAX_BYTES: u64 = (64 << 20) + (16 << 20);
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_secs();
+    let key = ("idempotency-key", format!("{now}-endless"));
+    let headers = [("authorization", "Bearer tier-0".to_owned()), key];
+    for fault in [Fault::EndlessHead, Fault::EndlessBody] {
+        let cluster = start(TestClusterConfig::small()).await;
+        for server in &cluster.servers {
+            server.set_fault(fault);
+        }
+        let stream = chat(&cluster, true).await;
+        let whole = chat(&cluster, false).await;
+        let path = "/services/order-desk/orders";
+        let vm = cluster.caller_address(0);
+        let order = call(vm, "POST", path, &headers, b"{}".to_vec()).await.unwrap();
+        for (name, answer) in [("stream", &stream), ("whole", &whole), ("order", &order)] {
+            let begun = name == "stream" && fault == Fault::EndlessBody;
+            let expected = if begun { 200 } else { 502 };
+            let body = String::from_utf8_lossy(&answer.body[..answer.body.len().min(400)]);
+            assert_eq!(answer.status, expected, "{fault:?}, {name}: {body}");
+            assert_eq!(error_body(answer).error.verdict, Verdict::MayHaveRun, "{fault:?}, {name}");
+        }
+        // A body that is passed on while it arrives has begun, so it ends without its final chunk.
+        let path = "/services/order-desk/stock";
+        let stock = call(vm, "GET", path, &headers, Vec::new()).await;
+        let failed = stock.as_ref().map_or(true, |answer| answer.status == 502);
+        assert!(failed, "{fault:?}: {:?}", stock.map(|answer| answer.status));
+        eventually("all connections are closed", async || {
+            cluster.servers.iter().map(|s| s.stats().endless().len()).sum::<usize>() == 4
+        })
+        .await;
+        for bytes in cluster.servers.iter().flat_map(|s| s.stats().endless()) {
+            assert!(bytes <= MAX_BYTES, "{fault:?}: {bytes} bytes read");
+        }
+        cluster.stop().await;
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn late_answer_never_reaches_another_request() {
     let mut config = TestClusterConfig::small();
--- a/crates/stand/src/faults.rs
+++ b/crates/stand/src/faults.rs
@@ -17,20 +17,41 @@
     WrongRequestId,
     /// Reads requests but never answers them.
     Hang,
+    /// Sends header lines without end, until the client closes the connection.
+    EndlessHead,
+    /// Sends a body without end and without line breaks, until the client closes the connection.
+    EndlessBody,
 }
 
 impl Fault {
     /// All faults, in the order of their discriminants.
-    const ALL: [Self; 6] = [
+    const ALL: [Self; 8] = [
         Self::None,
         Self::CloseUnanswered,
         Self::CloseMidAnswer,
         Self::OmitEndMarker,
         Self::WrongRequestId,
         Self::Hang,
+        Self::EndlessHead,
+        Self::EndlessBody,
     ];
 }
 
+impl Fault {
+    /// Returns the start of a response without end and the bytes that it repeats, or `None` for
+    /// other faults.
+    pub(crate) fn endless(self) -> Option<(&'static str, String)> {
+        match self {
+            Self::EndlessHead => Some(("HTTP/1.1 200 OK\r\n", "a: b\r\n".repeat(1_024))),
+            Self::EndlessBody => Some((
+                "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n",
+                format!("4000\r\n{}\r\n", "x".repeat(0x4000)),
+            )),
+            _ => None,
+        }
+    }
+}
+
 /// The fault that a stand-in injects at present, and its slowdown.
 #[derive(Debug)]
 pub(crate) struct Faults {
--- a/crates/stand/src/server.rs
+++ b/crates/stand/src/server.rs
@@ -6,7 +6,12 @@
 use http_body_util::combinators::UnsyncBoxBody;
 use hyper::{Request, Response, body::Incoming, service::service_fn};
 use hyper_util::rt::TokioIo;
-use tokio::{net::TcpListener, sync::Mutex, task::JoinHandle};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    sync::Mutex,
+    task::JoinHandle,
+};
 
 use crate::{
     announce::Announcer,
@@ -174,12 +179,17 @@
     while let Ok((stream, _)) = listener.accept().await {
         let _ = stream.set_nodelay(true);
         let shared = Arc::clone(&shared);
-        let service = service_fn(move |request| handle(Arc::clone(&shared), request));
-        let connection = hyper::server::conn::http1::Builder::new()
-            .serve_connection(TokioIo::new(stream), service);
         let task = tokio::spawn(async move {
+            if let Some((start, block)) = shared.faults.get().endless() {
+                let sent = send_endlessly(stream, start, &block).await;
+                shared.stats.record_endless(sent);
+                return;
+            }
+            let service = service_fn(move |request| handle(Arc::clone(&shared), request));
             // The client observes how the connection ended.
-            let _ = connection.await;
+            let _ = hyper::server::conn::http1::Builder::new()
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
         });
         if let Ok(mut connections) = connections.lock() {
             connections.retain(|c| !c.is_finished());
@@ -188,6 +198,22 @@
     }
 }
 
+/// Waits for a request, and sends `start` and then `block` again and again until the connection is
+/// closed. Returns the number of bytes sent.
+async fn send_endlessly(mut stream: TcpStream, start: &str, block: &str) -> u64 {
+    let mut request = [0; 1_024];
+    if stream.read(&mut request).await.is_err() {
+        return 0;
+    }
+    let mut sent = 0;
+    let mut next = start;
+    while stream.write_all(next.as_bytes()).await.is_ok() {
+        sent += next.len() as u64;
+        next = block;
+    }
+    sent
+}
+
 /// Handles a request; an error closes the connection without an answer.
 async fn handle(
     shared: Arc<Shared>,
--- a/crates/stand/src/stats.rs
+++ b/crates/stand/src/stats.rs
@@ -47,6 +47,7 @@
     /// Runs by request id and by idempotency key.
     runs: Mutex<HashMap<String, u64>>,
     orders: Mutex<Vec<PlacementOrder>>,
+    endless: Mutex<Vec<u64>>,
 }
 
 impl Stats {
@@ -78,6 +79,17 @@
         self.orders.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
+    pub(crate) fn record_endless(&self, bytes: u64) {
+        self.endless.lock().unwrap_or_else(PoisonError::into_inner).push(bytes);
+    }
+
+    /// Returns the number of bytes sent of each response without end whose connection the client
+    /// has closed.
+    #[must_use]
+    pub fn endless(&self) -> Vec<u64> {
+        self.endless.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
     /// Returns the sums since the stand-in was started.
     #[must_use]
     pub fn totals(&self) -> Totals {
