Do not let late tickets wait in a queue that stands for longer than a burst

Cause: a ticket that could no longer be in time waited on for up to three times its target, ahead of every lower tier. That rides out a burst.

Change: a late ticket waits on only if no ticket of its tier had waited within the time for which it would. The order of tiers is as before: while the declined ticket waited, no lower tier was granted a server that suits it. The highest tier still waits.

--- a/crates/broker/src/broker.rs
+++ b/crates/broker/src/broker.rs
@@ -50,6 +50,8 @@
     ordered: bool,
     /// Time until which waiting tickets are not granted.
     warm_until: Time,
+    /// The last time at which no ticket of each tier waited.
+    idle_at: [Time; TIER_COUNT],
 }
 
 /// Totals of a broker, for operators.
@@ -97,6 +99,7 @@
             max_waiting: config.max_waiting,
             ordered: config.ordered,
             warm_until: Time::default(),
+            idle_at: [Time::default(); TIER_COUNT],
         }
     }
 
@@ -235,6 +238,7 @@
             out.push(decline(&offer, RefusalReason::Shed, wait));
             return;
         }
+        self.note_idle_tiers(now);
         let work = self.latency.total(&offer.ticket, false);
         if slack > Span::ZERO {
             self.queue.push(offer, now + slack, work);
@@ -267,8 +271,8 @@
         Span::from_secs_f64((before + self.latency.mean_total() / 2.0) / speed)
     }
 
-    /// Handles a ticket whose wait has ended. One with a soft deadline waits on behind the others,
-    /// unless its predicted wait exceeds its limit.
+    /// Handles a ticket whose wait has ended. One with a soft deadline waits on behind the others of
+    /// its tier, unless its predicted wait exceeds its limit or the queue of its tier stands.
     fn expire(&mut self, now: Time, waiting: Waiting, out: &mut Vec<Action>) {
         let Waiting { offer, expires_at, work, is_late, .. } = waiting;
         match offer.late {
@@ -278,7 +282,9 @@
                 let slack = self.slack(now, &offer);
                 let until = (expires_at + (late.wait - slack)).max(now);
                 let wait = self.predicted_soft_wait(now, &offer);
-                if offer.ticket.tier != Tier::HIGHEST && wait > until - now {
+                let tier = offer.ticket.tier;
+                let in_vain = wait > until - now || self.is_queue_standing(now, tier, late.wait);
+                if tier != Tier::HIGHEST && in_vain {
                     out.push(decline(&offer, RefusalReason::Shed, wait));
                     return;
                 }
@@ -295,6 +301,12 @@
         }
     }
 
+    /// Returns whether tickets of a tier have waited without a break for longer than `time`, so that
+    /// the overload is not a burst that a late ticket can wait out.
+    fn is_queue_standing(&self, now: Time, tier: Tier, time: Span) -> bool {
+        now - self.idle_at[tier.index()] > time
+    }
+
     /// Takes over a request that an earlier broker granted, or records that a known one still runs:
     /// an entry VM confirms each request every few seconds, and a request that is not confirmed is
     /// dropped.
@@ -381,6 +393,7 @@
     pub fn tick(&mut self, now: Time, out: &mut Vec<Action>) {
         self.pool.refresh(now, &self.latency);
         self.grant_waiting(now, out);
+        self.note_idle_tiers(now);
         while let Some(request) = self.queue.expired(now) {
             if let Some(waiting) = self.queue.remove(request) {
                 self.expire(now, waiting, out);
@@ -391,6 +404,14 @@
         }
     }
 
+    fn note_idle_tiers(&mut self, now: Time) {
+        for (idle_at, waiting) in self.idle_at.iter_mut().zip(self.queue.waiting_tiers()) {
+            if !waiting {
+                *idle_at = now;
+            }
+        }
+    }
+
     /// Returns the totals for operators.
     #[must_use]
     pub fn summary(&self) -> Summary {
--- a/crates/broker/src/queue.rs
+++ b/crates/broker/src/queue.rs
@@ -179,6 +179,11 @@
         sums
     }
 
+    /// Returns, for each tier, whether a ticket waits.
+    pub(crate) fn waiting_tiers(&self) -> impl Iterator<Item = bool> {
+        self.lanes.chunks(LANES / TIER_COUNT).map(|lanes| lanes.iter().any(|l| !l.turns.is_empty()))
+    }
+
     /// Counts that another ticket was granted before this one, which was first.
     pub(crate) fn count_skip(&mut self, request: RequestId) {
         if let Some(waiting) = self.waiting.get_mut(&request) {
