--- a/crates/region/tests/region/main.rs
+++ b/crates/region/tests/region/main.rs
@@ -122,6 +122,22 @@
     assert_eq!((sim.most_excess, sim.undecided()), (0, 0));
 }
 
+#[test]
+fn a_home_counts_each_request_in_flight_once() {
+    let mut sim = Sim::start(6, 10);
+    sim.advance(HOME_AGREED);
+    let vms: Vec<usize> = (0..6).collect();
+    let first_home = sim.home(0);
+    granted_under_overload(&mut sim, &vms, Span::from_millis(200));
+    sim.announce_stop(first_home);
+    granted_under_overload(&mut sim, &vms, Span::from_millis(400));
+    let (home, all) = (sim.home(0), u32::try_from(SERVERS * SLOTS).unwrap());
+    let usage = sim.slot_usage(home);
+    assert_eq!((usage.slots, usage.running + usage.free, usage.reported), (all, all, 0));
+    assert!(usage.waiting[1] > 0);
+    assert_eq!(sim.slot_usage(first_home).running, 0, "its requests have been handed over");
+}
+
 #[test]
 fn slots_of_a_former_home_are_used_while_vms_disagree_about_the_home() {
     let mut sim = Sim::start(6, 9);
--- a/crates/region/tests/region/sim.rs
+++ b/crates/region/tests/region/sim.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use broker::{LateLimits, Offer};
+use broker::{LateLimits, Offer, SlotUsage};
 use model::{
     Announcement, Duty, Fencing, Kind, Outcome, RequestId, ServerId, ServiceName, Span, Ticket,
     Tier, Time, VmName, ZoneName,
@@ -351,6 +351,12 @@
         index(home.as_str())
     }
 
+    /// Returns the slots of the service, as a VM counts them.
+    pub(crate) fn slot_usage(&self, vm: usize) -> SlotUsage {
+        let usage = self.vms[vm].region.service_usage(self.now);
+        usage.into_iter().find(|u| u.service == service()).unwrap().slots
+    }
+
     pub(crate) fn running(&self) -> usize {
         self.at_servers.len()
     }
