--- a/crates/relay/src/events.rs
+++ b/crates/relay/src/events.rs
@@ -54,6 +54,8 @@
     partial: BytesMut,
     /// Start of the first line of `partial` that may end an event.
     line_start: usize,
+    /// Number of bytes of `partial` that were searched for line ends.
+    searched: usize,
     /// Bytes of repeated events since the last new one.
     repeated: usize,
     last: Option<u64>,
@@ -92,7 +94,7 @@
         let mut whole = BytesMut::new();
         while let Some(len) = self.event_len() {
             let event = self.partial.split_to(len);
-            self.line_start = 0;
+            (self.line_start, self.searched) = (0, 0);
             if self.accept_event(&event)? {
                 self.repeated = 0;
                 whole.extend_from_slice(&event);
@@ -108,14 +110,17 @@
 
     /// Returns the length of the first event, including the empty line that ends it.
     fn event_len(&mut self) -> Option<usize> {
-        while let Some(len) = self.partial[self.line_start..].iter().position(|b| *b == b'\n') {
-            let line = &self.partial[self.line_start..self.line_start + len];
+        while let Some(len) = self.partial[self.searched..].iter().position(|b| *b == b'\n') {
+            let line_end = self.searched + len;
+            let line = &self.partial[self.line_start..line_end];
             let ends_event = line.is_empty() || line == b"\r";
-            self.line_start += len + 1;
+            self.line_start = line_end + 1;
+            self.searched = line_end + 1;
             if ends_event {
                 return Some(self.line_start);
             }
         }
+        self.searched = self.partial.len();
         None
     }
 
@@ -135,12 +140,12 @@
     /// Discards the incomplete event at the end of a stream that broke off.
     pub fn discard_partial(&mut self) {
         self.partial.clear();
-        self.line_start = 0;
+        (self.line_start, self.searched) = (0, 0);
     }
 
     /// Takes the bytes after the last whole event, once the stream has ended.
     pub fn take_partial(&mut self) -> Bytes {
-        self.line_start = 0;
+        (self.line_start, self.searched) = (0, 0);
         self.partial.split().freeze()
     }
 }
