--- a/crates/broker/tests/overload.rs
+++ b/crates/broker/tests/overload.rs
@@ -164,7 +164,7 @@
 #[test]
 fn late_tickets_of_a_long_peak_do_not_starve_lower_tiers_after_it() {
     let (sim, second) = play_waves();
-    // Two seconds after a peak, all that could be in time has been decided.
+    // One second after a peak, all of it that could be in time has been decided.
     let after_peak = PEAK_S + 1;
     let of_lowest = sim
         .results
