Log the parts of the prompt, and how far a failed answer had come

The parts that requests share become a value of the request (`Part`), and `send failed` and `request answered` name them; `answering_ms` says for how long events of that server had been arriving. No decision changes.

--- a/crates/model/src/hash.rs
+++ b/crates/model/src/hash.rs
@@ -68,3 +68,8 @@
     std::hash::Hasher::write(&mut hasher, name.as_bytes());
     std::hash::Hasher::finish(&hasher)
 }
+
+/// Returns a hash of `text` that is the same on every VM.
+pub(crate) fn hash_text(text: &str) -> u64 {
+    XxHash3_64::oneshot(text.as_bytes())
+}
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -20,6 +20,7 @@
 mod hash;
 mod invariant;
 mod names;
+mod part;
 mod reason;
 mod refusal;
 mod request;
@@ -33,6 +34,7 @@
     hash::{digest, rendezvous_pick, unit_hash},
     invariant::Invariant,
     names::{AccountName, EditId, ServerId, ServiceName, VmName, ZoneName},
+    part::Part,
     reason::{RefusalReason, RetryReason, Verdict},
     refusal::{Refusal, RefusalKey},
     request::{Outcome, RequestId, Ticket},
--- /dev/null
+++ b/crates/model/src/part.rs
@@ -0,0 +1,44 @@
+//! Parts of a request's content that several requests have in common.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+use crate::hash::hash_text;
+
+/// Identifies a part of a request's content, such as a document in a prompt, that other requests
+/// may contain too.
+///
+/// A name of up to 16 hexadecimal digits stands for its value, and any other name for its hash.
+///
+/// # Examples
+///
+/// ```
+/// use model::Part;
+///
+/// assert_eq!(Part::from("5c1e07a2").to_string(), "5c1e07a2");
+/// assert_eq!(Part::from("a manual"), Part::from("a manual"));
+/// assert_ne!(Part::from("a manual"), Part::from("another manual"));
+/// ```
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Part(u64);
+
+impl From<&str> for Part {
+    fn from(name: &str) -> Self {
+        let digits = name.len() <= 16 && name.bytes().all(|b| b.is_ascii_hexdigit());
+        let value = digits.then(|| u64::from_str_radix(name, 16).ok()).flatten();
+        Self(value.unwrap_or_else(|| hash_text(name)))
+    }
+}
+
+impl fmt::Display for Part {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:x}", self.0)
+    }
+}
+
+impl fmt::Debug for Part {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(self, f)
+    }
+}
--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, Response, StatusCode, request, response};
 use http_body_util::Full;
-use model::{AccountName, RefusalReason, ServerId, Verdict};
+use model::{AccountName, Part, RefusalReason, ServerId, Verdict};
 use routing::Plan;
 
 /// The parameters of a caller's request, beside method, path and body.
@@ -28,6 +28,9 @@
     pub length_hint: Option<u64>,
     /// Id of the last event that the caller has received, if it resumes a stream.
     pub last_event: Option<u64>,
+    /// The parts of the prompt that other requests may have too, in order. The part that belongs to
+    /// the request itself or to its session is left out.
+    pub parts: Vec<Part>,
 }
 
 /// The data that is sent to a server in addition to the caller's headers.
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -392,7 +392,7 @@
         let outcome = if verdict == Verdict::NotRun { Outcome::NotSent } else { Outcome::Failed };
         submission.finish(outcome);
         self.possible_runs += u32::from(verdict != Verdict::NotRun);
-        self.log_send_failure(&server, &failure.to_string(), verdict, sent);
+        self.log_send_failure(&server, (&failure.to_string(), Duration::ZERO), verdict, sent);
         self.avoid.push(server);
         Err(if verdict == Verdict::NotRun {
             not_run(failure.reason(), Some(MIN_RETRY_AFTER))
@@ -415,7 +415,7 @@
             let StartedResponse { submission, server, sent, .. } = response;
             let why = if info.misdirected { "another server has the address" } else { "full" };
             submission.finish(if info.misdirected { Outcome::NotSent } else { Outcome::Failed });
-            self.log_send_failure(&server, why, Verdict::NotRun, sent);
+            self.log_send_failure(&server, (why, Duration::ZERO), Verdict::NotRun, sent);
             self.avoid.push(server);
             return Err(not_run(RefusalReason::Shed, Some(MIN_RETRY_AFTER)));
         }
@@ -424,17 +424,25 @@
             let StartedResponse { submission, server, sent, exchange } = response;
             let why = format!("the server answered {}", exchange.status().as_u16());
             submission.finish(Outcome::Cancelled);
-            self.log_send_failure(&server, &why, Verdict::Ran, sent);
+            self.log_send_failure(&server, (&why, Duration::ZERO), Verdict::Ran, sent);
             self.avoid.push(server);
             return Err(may_have_run(RefusalReason::ServerFailed));
         }
         Ok(response)
     }
 
+    /// Returns the parts of the prompt as text for logs.
+    fn parts_text(&self) -> String {
+        let parts = self.caller_request.parts.iter().map(ToString::to_string);
+        parts.collect::<Vec<_>>().join(",")
+    }
+
+    /// Records that a send failed. `answering` is the time for which events of the server had been
+    /// arriving.
     pub(crate) fn log_send_failure(
         &self,
         server: &ServerId,
-        why: &str,
+        (why, answering): (&str, Duration),
         verdict: Verdict,
         sent: Instant,
     ) {
@@ -446,7 +454,9 @@
                 why,
                 verdict = format!("{verdict:?}"),
                 send = self.sends,
-                after_ms = millis(sent.elapsed())
+                after_ms = millis(sent.elapsed()),
+                answering_ms = millis(answering),
+                parts = self.parts_text()
             }
         );
     }
@@ -502,13 +512,23 @@
             Ok(Ok(body)) => body,
             Ok(Err(failure)) => {
                 submission.finish(Outcome::Failed);
-                self.log_send_failure(&server, &failure.to_string(), Verdict::MayHaveRun, sent);
+                self.log_send_failure(
+                    &server,
+                    (&failure.to_string(), Duration::ZERO),
+                    Verdict::MayHaveRun,
+                    sent,
+                );
                 self.avoid.push(server);
                 return Err(may_have_run(failure.reason()));
             }
             Err(_) => {
                 submission.finish(Outcome::Failed);
-                self.log_send_failure(&server, "out of time", Verdict::MayHaveRun, sent);
+                self.log_send_failure(
+                    &server,
+                    ("out of time", Duration::ZERO),
+                    Verdict::MayHaveRun,
+                    sent,
+                );
                 return Err(may_have_run(RefusalReason::Timeout));
             }
         };
@@ -566,6 +586,7 @@
                 events,
                 sends = self.sends,
                 tier = u8::from(self.tier),
+                parts = self.parts_text(),
                 prompt = self.caller_request.tokens.map_or(0, |(prompt, _)| prompt),
                 first_ms = millis(first),
                 pause_ms = millis(times.pause),
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -96,6 +96,12 @@
         }
     }
 
+    /// Returns the time for which events of this server have been arriving.
+    fn answering(&self) -> Duration {
+        let elapsed = self.response.sent.elapsed();
+        self.first.map_or(Duration::ZERO, |first| elapsed.saturating_sub(Duration::from(first)))
+    }
+
     fn finish(self) -> ServerId {
         let total = Span::from(self.response.sent.elapsed());
         let first = self.first.unwrap_or(total);
@@ -142,7 +148,7 @@
             StreamPart::Broken(why) => {
                 self.log_send_failure(
                     &stream.response.server,
-                    &why,
+                    (&why, Duration::ZERO),
                     Verdict::MayHaveRun,
                     stream.response.sent,
                 );
@@ -195,7 +201,7 @@
             };
             self.log_send_failure(
                 &stream.response.server,
-                &why,
+                (&why, stream.answering()),
                 Verdict::MayHaveRun,
                 stream.response.sent,
             );
