Keep requests from servers if a part of them ends servers

What callers saw: requests with one part in their prompts ended server after server, up to five a second; others on these servers got 502 or a stream that ended early, and lower tiers had no servers left.

Cause: nothing related the end of a server to what its requests held. A failed request was avoided at that server only, and it, its repeats and new requests with the same part went on to the next one. Class: a request that ends its server is taken for a failure of the server.

Change: entry VMs collect, for each part that requests share, the servers that ended before an answer had gone on for 0.3 s, and tell each other. One answer that goes on clears a part. A part is blocked once three servers or more ended, nothing with it was answered for half a second, and answers to other requests show that chance does not explain it (below 1 in 100, at a failure rate of a fifth at least). A request with a blocked part gets 503, as it has not run, also if it was waiting or granted already. One at a time tries the part again: after 0.2 s, then ten times later with each failure. If several blocked parts come together, a request with one of them alone is tried first. Requests without prompt parts count as a whole.

--- a/crates/backend/src/exchange.rs
+++ b/crates/backend/src/exchange.rs
@@ -6,7 +6,10 @@
 use std::{net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
-use http::{HeaderMap, Response, StatusCode};
+use http::{
+    HeaderMap, Response, StatusCode,
+    header::{CONTENT_LENGTH, TRANSFER_ENCODING},
+};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use tokio::time::timeout;
@@ -81,6 +84,15 @@
         &self.headers
     }
 
+    /// Returns whether the response has neither a length nor chunks and ends with its connection, so
+    /// that its end cannot be told from a server that stopped early.
+    #[must_use]
+    pub fn ends_with_connection(&self) -> bool {
+        let has_length = self.headers.contains_key(CONTENT_LENGTH);
+        let has_body = self.status != StatusCode::NO_CONTENT && !self.status.is_redirection();
+        has_body && !has_length && !self.headers.contains_key(TRANSFER_ENCODING)
+    }
+
     /// Returns the next piece of the body, or `None` at its end. Trailers are skipped.
     ///
     /// At the end, the connection becomes available to other requests.
--- a/crates/entry/src/error.rs
+++ b/crates/entry/src/error.rs
@@ -92,6 +92,7 @@
         | RefusalReason::NoQuorum
         | RefusalReason::NoPlan
         | RefusalReason::StalePlan
+        | RefusalReason::BlockedPart
         | RefusalReason::RetryBudget => StatusCode::SERVICE_UNAVAILABLE,
         RefusalReason::Deadline | RefusalReason::Timeout => StatusCode::GATEWAY_TIMEOUT,
         RefusalReason::ServerFailed | RefusalReason::Broken => StatusCode::BAD_GATEWAY,
--- a/crates/model/src/hash.rs
+++ b/crates/model/src/hash.rs
@@ -69,7 +69,12 @@
     std::hash::Hasher::finish(&hasher)
 }
 
-/// Returns a hash of `text` that is the same on every VM.
-pub(crate) fn hash_text(text: &str) -> u64 {
-    XxHash3_64::oneshot(text.as_bytes())
+/// Returns a hash of `texts` that is the same on every VM.
+pub(crate) fn hash_texts(texts: &[&[u8]]) -> u64 {
+    let mut hasher = XxHash3_64::new();
+    for text in texts {
+        std::hash::Hasher::write(&mut hasher, &text.len().to_le_bytes());
+        std::hash::Hasher::write(&mut hasher, text);
+    }
+    std::hash::Hasher::finish(&hasher)
 }
--- a/crates/model/src/part.rs
+++ b/crates/model/src/part.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::hash::hash_text;
+use crate::hash::hash_texts;
 
 /// Identifies a part of a request's content, such as a document in a prompt, that other requests
 /// may contain too.
@@ -23,11 +23,28 @@
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Part(u64);
 
+impl Part {
+    /// Returns the part that stands for a whole request, which only equal requests have in common.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use model::Part;
+    ///
+    /// assert_eq!(Part::whole("/stock/7", b""), Part::whole("/stock/7", b""));
+    /// assert_ne!(Part::whole("/stock/7", b""), Part::whole("/stock/8", b""));
+    /// ```
+    #[must_use]
+    pub fn whole(path: &str, body: &[u8]) -> Self {
+        Self(hash_texts(&[path.as_bytes(), body]))
+    }
+}
+
 impl From<&str> for Part {
     fn from(name: &str) -> Self {
         let digits = name.len() <= 16 && name.bytes().all(|b| b.is_ascii_hexdigit());
         let value = digits.then(|| u64::from_str_radix(name, 16).ok()).flatten();
-        Self(value.unwrap_or_else(|| hash_text(name)))
+        Self(value.unwrap_or_else(|| hash_texts(&[name.as_bytes()])))
     }
 }
 
--- a/crates/model/src/reason.rs
+++ b/crates/model/src/reason.rs
@@ -95,6 +95,8 @@
         NoPlan = "no_plan",
         /// No control VM has confirmed the plan for so long that keys may have been revoked since.
         StalePlan = "stale_plan",
+        /// Servers ended while they answered requests that have a part in common with this one.
+        BlockedPart = "blocked_part",
         /// The retry budget of the service is used up.
         RetryBudget = "retry_budget",
     }
--- /dev/null
+++ b/crates/poison/src/detector.rs
@@ -0,0 +1,369 @@
+//! The [`Detector`]: collects ends and answers, and decides about requests.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use model::{Part, ServerId, ServiceName, Span, Time, VmName, unit_hash};
+
+use crate::{record::Record, suspect::Suspect};
+
+/// Minimum number of servers that ended before a part is blocked.
+const MIN_ENDS: u32 = 3;
+/// Minimum time from the first end until a part is blocked. Sound parts are usually in other
+/// requests too, and one of these is answered within this time.
+const MIN_DOUBT: Span = Span::from_millis(500);
+/// Probability below which it is not put down to chance that all requests with a part failed.
+const SIGNIFICANCE: f64 = 0.01;
+/// Minimum probability assumed for the failure of a sound request while servers end.
+const MIN_FAILURE_RATE: f64 = 0.2;
+/// Delay before the first request is let through to try a blocked part. It grows tenfold with each
+/// failure.
+const TRIAL_DELAY: Span = Span::from_millis(200);
+/// Maximum delay between two trials of a part.
+const MAX_TRIAL_DELAY: Span = Span::from_secs(600);
+/// Share of the delay by which the trials of different VMs are spread, so that one of them has told
+/// the others of its trial before they begin one.
+const TRIAL_SPREAD: f64 = 0.25;
+/// Time after which a trial without a result counts as over.
+const TRIAL_TIME: Span = Span::from_secs(3);
+/// Time after the last end for which a part that is not blocked stays a suspect.
+const SUSPECT_TTL: Span = Span::from_secs(30);
+/// Time after the last end for which a part stays blocked.
+const BLOCKED_TTL: Span = Span::from_secs(900);
+/// Time for which it is remembered that a part was cleared, so that ends before that, which other
+/// VMs still report, do not count.
+const CLEARED_TTL: Span = Span::from_secs(3);
+/// Maximum number of parts that are remembered.
+const MAX_RECORDS: usize = 512;
+/// Maximum number of suspects in a message.
+const MAX_SUSPECTS: usize = 12;
+/// Number of failed requests of a service that are remembered.
+const MAX_FAILED: usize = 128;
+
+/// Whether a request may be sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Admission {
+    /// No part of it is blocked.
+    Free,
+    /// One of its parts is blocked, and the request tries it.
+    Trial,
+    /// A part of it is blocked.
+    Refused {
+        /// Time until a request with its parts may be let through.
+        wait: Span,
+    },
+}
+
+/// A change to be logged for operators.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Notice {
+    /// A part is blocked.
+    Blocked {
+        /// Service whose servers ended.
+        service: ServiceName,
+        /// The part.
+        part: Part,
+        /// Number of servers that ended.
+        ends: u32,
+        /// Number of answers to other requests that went on meanwhile.
+        answers: u64,
+    },
+    /// A request is let through to try a blocked part.
+    Tried {
+        /// Service that the request is for.
+        service: ServiceName,
+        /// The part.
+        part: Part,
+        /// Number of earlier trials that failed.
+        failures: u32,
+    },
+    /// A blocked part is no longer blocked, since an answer with it went on.
+    Cleared {
+        /// Service that the request was for.
+        service: ServiceName,
+        /// The part.
+        part: Part,
+    },
+}
+
+/// What is known of all requests for a service.
+#[derive(Debug, Default)]
+struct ServiceRecord {
+    /// Number of answers that went on.
+    answers: u64,
+    /// Requests that failed as their server ended.
+    failed: VecDeque<(ServerId, Time)>,
+}
+
+/// Decides whether requests may be sent, by the parts that they have in common with requests that
+/// ended servers.
+///
+/// # Examples
+///
+/// ```
+/// use model::{Part, ServerId, ServiceName, Time};
+/// use poison::{Admission, Detector};
+///
+/// let mut detector = Detector::new("10.0.0.1".try_into()?);
+/// let service = ServiceName::try_from("desk")?;
+/// let (sound, bad) = ([Part::from("a1")], [Part::from("a1"), Part::from("b2")]);
+/// for (n, id) in ["i-1", "i-2", "i-3"].into_iter().enumerate() {
+///     let now = Time::from_micros(n as u64 * 300_000);
+///     detector.record_end(now, &service, &bad, (&ServerId::try_from(id)?, false));
+///     for _ in 0..3 {
+///         detector.record_answer(now, &service, &sound);
+///     }
+/// }
+/// let now = Time::from_micros(700_000);
+/// assert_eq!(detector.check(now, &service, &sound), Admission::Free);
+/// assert!(matches!(detector.check(now, &service, &bad), Admission::Refused { .. }));
+/// # Ok::<(), model::Error>(())
+/// ```
+#[derive(Debug)]
+pub struct Detector {
+    vm: VmName,
+    records: BTreeMap<(ServiceName, Part), Record>,
+    services: BTreeMap<ServiceName, ServiceRecord>,
+    changed: bool,
+    notices: Vec<Notice>,
+}
+
+impl Detector {
+    /// Creates the detector of a VM that has seen nothing yet.
+    #[must_use]
+    pub fn new(vm: VmName) -> Self {
+        Self {
+            vm,
+            records: BTreeMap::new(),
+            services: BTreeMap::new(),
+            changed: false,
+            notices: Vec::new(),
+        }
+    }
+
+    /// Returns whether a request with these parts could be sent now.
+    pub fn check(&mut self, now: Time, service: &ServiceName, parts: &[Part]) -> Admission {
+        if self.records.is_empty() {
+            return Admission::Free;
+        }
+        for part in parts {
+            self.block_if_proven(now, service, *part);
+        }
+        let blocked: Vec<_> = parts.iter().filter(|p| self.is_blocked(service, **p)).collect();
+        // Alone, a part is tried sooner: if several parts came together each time, a request with
+        // one of them shows which is to blame.
+        let steps = u32::from(blocked.len() > 1);
+        let waits = blocked.iter().filter_map(|part| {
+            let record = self.records.get(&(service.clone(), **part))?;
+            Some(self.next_trial(**part, record, steps) - now)
+        });
+        match waits.max() {
+            None => Admission::Free,
+            Some(Span::ZERO) => Admission::Trial,
+            Some(wait) => Admission::Refused { wait },
+        }
+    }
+
+    /// Decides whether a request is sent now. The caller must send it, unless it is refused.
+    pub fn admit(&mut self, now: Time, service: &ServiceName, parts: &[Part]) -> Admission {
+        let admission = self.check(now, service, parts);
+        if admission == Admission::Trial {
+            for part in parts {
+                let record = self.records.get_mut(&(service.clone(), *part));
+                if let Some(record) = record.filter(|r| r.blocked.is_some()) {
+                    record.tried = Some(now);
+                    self.changed = true;
+                    let (service, part, failures) = (service.clone(), *part, record.failures);
+                    self.notices.push(Notice::Tried { service, part, failures });
+                }
+            }
+        }
+        admission
+    }
+
+    /// Records that the answer to a request went on for a while or was complete, so its parts did
+    /// not end the server.
+    pub fn record_answer(&mut self, now: Time, service: &ServiceName, parts: &[Part]) {
+        self.service(service).answers += 1;
+        if self.records.is_empty() {
+            return;
+        }
+        for part in parts {
+            let Some(record) = self.records.get_mut(&(service.clone(), *part)) else { continue };
+            if record.ends() == 0 && record.blocked.is_none() {
+                continue;
+            }
+            if record.blocked.is_some() {
+                let (service, part) = (service.clone(), *part);
+                self.notices.push(Notice::Cleared { service, part });
+            }
+            record.clear(now);
+            self.changed = true;
+        }
+    }
+
+    /// Records that a server ended before its answer to a request had gone on for a while. `server`
+    /// is the server, and whether the request was let through as a trial.
+    pub fn record_end(
+        &mut self,
+        now: Time,
+        service: &ServiceName,
+        parts: &[Part],
+        (server, is_trial): (&ServerId, bool),
+    ) {
+        let of_service = self.service(service);
+        let answers = of_service.answers;
+        if of_service.failed.len() == MAX_FAILED {
+            of_service.failed.pop_front();
+        }
+        of_service.failed.push_back((server.clone(), now));
+        for part in parts {
+            let Some(record) = self.record(now, service, *part, answers) else { continue };
+            let mut is_news = record.add_end(now, server);
+            if is_trial && record.blocked.is_some() {
+                record.failures += 1;
+                is_news = true;
+            }
+            self.changed |= is_news;
+        }
+    }
+
+    /// Merges what another VM knows.
+    pub fn merge(&mut self, now: Time, suspects: &[Suspect]) {
+        for suspect in suspects {
+            let answers = self.service(&suspect.service).answers;
+            let (service, part) = (&suspect.service, suspect.part);
+            let Some(record) = self.record(now, service, part, answers) else { continue };
+            let was_blocked = record.blocked.is_some();
+            let is_news = record.merge(now, suspect);
+            let is_blocked = record.blocked.is_some();
+            let ends = record.ends();
+            self.changed |= is_news;
+            let (service, part) = (service.clone(), part);
+            match (was_blocked, is_blocked) {
+                (false, true) => {
+                    self.notices.push(Notice::Blocked { service, part, ends, answers: 0 });
+                }
+                (true, false) => self.notices.push(Notice::Cleared { service, part }),
+                _ => {}
+            }
+        }
+    }
+
+    /// Returns the suspects for other VMs, the weightiest ones first; empty if there are none.
+    pub fn suspects(&mut self, now: Time) -> Vec<Suspect> {
+        self.changed = false;
+        self.forget(now);
+        let keys: Vec<_> = self.records.keys().cloned().collect();
+        for (service, part) in keys {
+            self.block_if_proven(now, &service, part);
+        }
+        let mut records: Vec<_> = self.records.iter().collect();
+        records.sort_by_key(|(_, r)| {
+            std::cmp::Reverse((r.blocked.is_some(), r.ends(), r.last_end.max(r.cleared)))
+        });
+        let sent = records.into_iter().take(MAX_SUSPECTS);
+        sent.map(|((service, part), record)| record.suspect(now, service, *part)).collect()
+    }
+
+    /// Returns whether something changed that other VMs should learn at once.
+    #[must_use]
+    pub fn has_changes(&self) -> bool {
+        self.changed
+    }
+
+    /// Takes the changes since the last call.
+    pub fn take_notices(&mut self) -> Vec<Notice> {
+        std::mem::take(&mut self.notices)
+    }
+
+    fn service(&mut self, service: &ServiceName) -> &mut ServiceRecord {
+        self.services.entry(service.clone()).or_default()
+    }
+
+    /// Returns the record of a part, which is created if there is space. The oldest suspect makes
+    /// space, but no blocked part does.
+    fn record(
+        &mut self,
+        now: Time,
+        service: &ServiceName,
+        part: Part,
+        answers_before: u64,
+    ) -> Option<&mut Record> {
+        let key = (service.clone(), part);
+        if !self.records.contains_key(&key) && self.records.len() >= MAX_RECORDS {
+            self.forget(now);
+            let suspects = self.records.iter().filter(|(_, r)| r.blocked.is_none());
+            let oldest = suspects.min_by_key(|(_, r)| r.last_end).map(|(key, _)| key.clone());
+            if self.records.len() >= MAX_RECORDS {
+                self.records.remove(&oldest?);
+            }
+        }
+        let record = self.records.entry(key).or_default();
+        if record.ends() == 0 {
+            record.answers_before = answers_before;
+        }
+        Some(record)
+    }
+
+    fn forget(&mut self, now: Time) {
+        self.records.retain(|_, record| {
+            let since =
+                |at: Option<Time>| at.map_or(Span::from_secs(u64::MAX / 1_000_000), |at| now - at);
+            since(record.cleared) < CLEARED_TTL
+                || since(record.last_end) < SUSPECT_TTL
+                || (record.blocked.is_some() && since(record.last_end) < BLOCKED_TTL)
+        });
+    }
+
+    fn is_blocked(&self, service: &ServiceName, part: Part) -> bool {
+        let record = self.records.get(&(service.clone(), part));
+        record.is_some_and(|record| record.blocked.is_some())
+    }
+
+    /// Blocks a part if chance does not explain that no answer with it has gone on.
+    fn block_if_proven(&mut self, now: Time, service: &ServiceName, part: Part) {
+        let Some(record) = self.records.get_mut(&(service.clone(), part)) else { return };
+        let Some(first_end) = record.first_end.filter(|first| now - *first >= MIN_DOUBT) else {
+            return;
+        };
+        if record.blocked.is_some() || record.ends() < MIN_ENDS {
+            return;
+        }
+        let Some(of_service) = self.services.get(service) else { return };
+        // Ends of the same servers are no evidence that others fail as well.
+        let failed = of_service.failed.iter();
+        let failed = failed.filter(|(id, at)| *at >= first_end && !record.has_end(id)).count();
+        let failed = u32::try_from(failed).unwrap_or(u32::MAX);
+        let answers = of_service.answers - record.answers_before;
+        if chance(record.ends(), failed, answers) > SIGNIFICANCE {
+            return;
+        }
+        record.blocked = Some(now);
+        self.changed = true;
+        let (service, ends) = (service.clone(), record.ends());
+        self.notices.push(Notice::Blocked { service, part, ends, answers });
+    }
+
+    /// Returns when the next trial of a blocked part may begin here, with the delay of `steps` more
+    /// failures.
+    fn next_trial(&self, part: Part, record: &Record, steps: u32) -> Time {
+        let factor = 10_u64.saturating_pow(record.failures + steps);
+        let delay = Span::from_micros(TRIAL_DELAY.as_micros().saturating_mul(factor));
+        let delay = delay.min(MAX_TRIAL_DELAY);
+        let spread = unit_hash(&part.to_string(), self.vm.as_str()) * TRIAL_SPREAD;
+        let delay = delay + Span::from_secs_f64(delay.as_secs_f64() * spread);
+        let since = record.tried.max(record.blocked).unwrap_or_default();
+        let result_due = record.tried.map_or(Time::default(), |tried| tried + TRIAL_TIME);
+        (since + delay).max(result_due)
+    }
+}
+
+/// Returns the probability that `ends` requests fail in a row by chance, when of the other requests
+/// `failed` failed and `answers` were answered.
+fn chance(ends: u32, failed: u32, answers: u64) -> f64 {
+    let answers = f64::from(u32::try_from(answers).unwrap_or(u32::MAX));
+    // With no other requests, nothing can be told.
+    let rate = f64::from(failed + 1) / (f64::from(failed) + answers + 1.0);
+    let ends = i32::try_from(ends).unwrap_or(i32::MAX);
+    rate.max(MIN_FAILURE_RATE).powi(ends)
+}
--- /dev/null
+++ b/crates/poison/tests/detector.rs
@@ -0,0 +1,302 @@
+//! Which parts are blocked, and when requests with them are let through, as data-driven cases over
+//! one or several VMs.
+
+use model::{Part, ServerId, ServiceName, Time, VmName};
+use poison::{Admission, Detector, Suspect};
+
+fn service() -> ServiceName {
+    "loom".try_into().unwrap()
+}
+
+fn server(n: u32) -> ServerId {
+    format!("i-{n}").try_into().unwrap()
+}
+
+fn parts(names: &[&str]) -> Vec<Part> {
+    names.iter().map(|name| Part::from(*name)).collect()
+}
+
+fn at(ms: u64) -> Time {
+    Time::from_micros(ms * 1_000)
+}
+
+fn detectors(count: u32) -> Vec<Detector> {
+    let vm = |n| VmName::try_from(format!("10.0.0.{n}").as_str()).unwrap();
+    (1..=count).map(|n| Detector::new(vm(n))).collect()
+}
+
+/// What happens to a request at a VM.
+#[derive(Clone, Copy, Debug)]
+enum Event {
+    /// The answer went on.
+    Answer(&'static [&'static str]),
+    /// The server with this number ended.
+    End(&'static [&'static str], u32),
+}
+
+/// A name, events with their times in milliseconds, and whether the part is blocked after them.
+type Case = (&'static str, Vec<(u64, Event)>, bool);
+
+use Event::{Answer, End};
+
+fn apply(detector: &mut Detector, ms: u64, event: Event) {
+    match event {
+        Answer(names) => detector.record_answer(at(ms), &service(), &parts(names)),
+        End(names, n) => {
+            detector.record_end(at(ms), &service(), &parts(names), (&server(n), false));
+        }
+    }
+}
+
+fn is_refused(detector: &mut Detector, ms: u64, names: &[&str]) -> bool {
+    matches!(detector.check(at(ms), &service(), &parts(names)), Admission::Refused { .. })
+}
+
+/// Sends what each VM knows to all others.
+fn exchange(detectors: &mut [Detector], ms: u64) {
+    let all: Vec<Vec<Suspect>> = detectors.iter_mut().map(|d| d.suspects(at(ms))).collect();
+    for (to, detector) in detectors.iter_mut().enumerate() {
+        for (from, suspects) in all.iter().enumerate() {
+            if from != to {
+                detector.merge(at(ms), suspects);
+            }
+        }
+    }
+}
+
+/// Requests that share a first part, of which those with `bad` end servers.
+const BAD: &[&str] = &["first", "shared", "bad"];
+const SOUND: &[&str] = &["first", "shared"];
+const OTHER: &[&str] = &["first", "other"];
+
+#[test]
+fn a_part_is_blocked_only_if_chance_does_not_explain_its_failures() {
+    let ends = |n| (0..n).map(move |i| (u64::from(i) * 100, End(BAD, i)));
+    let answers = |n, names| (0..n).map(move |i| (50 + i * 20, Answer(names)));
+    let cases: Vec<Case> = vec![
+        ("no end", answers(9, SOUND).collect(), false),
+        ("two ends", ends(2).chain(answers(9, SOUND)).collect(), false),
+        ("three ends", ends(3).chain(answers(9, SOUND)).collect(), true),
+        (
+            "three ends, one answer with the part",
+            ends(3).chain([(250, Answer(BAD))]).collect(),
+            false,
+        ),
+        ("nothing else is answered", ends(8).collect(), false),
+        (
+            "other servers end as often",
+            ends(3)
+                .chain((0..9).map(|n| (n * 50, End(OTHER, 20))))
+                .chain(answers(4, OTHER))
+                .collect(),
+            false,
+        ),
+        (
+            "one server, seen three times",
+            (0..3).map(|n| (n * 100, End(BAD, 1))).chain(answers(9, SOUND)).collect(),
+            false,
+        ),
+        (
+            "the same server in three lifetimes",
+            (0..3).map(|n| (n * 3_500, End(BAD, 1))).chain(answers(9, SOUND)).collect(),
+            true,
+        ),
+    ];
+    for (name, mut events, refused) in cases {
+        events.sort_by_key(|(ms, _)| *ms);
+        let mut detector = detectors(1).remove(0);
+        let mut last = 0;
+        for (ms, event) in events {
+            apply(&mut detector, ms, event);
+            last = ms;
+        }
+        assert_eq!(is_refused(&mut detector, last.max(1_000), BAD), refused, "{name}");
+    }
+}
+
+#[test]
+fn a_popular_part_stays_free_while_servers_of_a_zone_end_at_once() {
+    let mut detector = detectors(1).remove(0);
+    for n in 0..6 {
+        apply(&mut detector, 0, End(SOUND, n));
+    }
+    for ms in [1, 10, 100, 400] {
+        assert!(!is_refused(&mut detector, ms, SOUND), "after {ms} ms");
+    }
+    apply(&mut detector, 450, Answer(SOUND));
+    for ms in [500, 1_000, 10_000] {
+        assert!(!is_refused(&mut detector, ms, SOUND), "after {ms} ms");
+    }
+}
+
+#[test]
+fn no_part_is_blocked_when_all_servers_end() {
+    let mut detector = detectors(1).remove(0);
+    for n in 0..40 {
+        apply(&mut detector, u64::from(n) * 50, End(if n % 2 == 0 { SOUND } else { OTHER }, n));
+    }
+    for ms in [2_000, 5_000, 20_000] {
+        assert!(!is_refused(&mut detector, ms, SOUND), "after {ms} ms");
+        assert!(!is_refused(&mut detector, ms, OTHER), "after {ms} ms");
+    }
+}
+
+#[test]
+fn ends_that_different_vms_see_count_together() {
+    let mut vms = detectors(5);
+    for (n, detector) in (0..).zip(&mut vms) {
+        apply(detector, u64::from(n) * 100, End(BAD, n));
+        for _ in 0..6 {
+            apply(detector, 450, Answer(SOUND));
+        }
+    }
+    exchange(&mut vms, 500);
+    exchange(&mut vms, 600);
+    for detector in &mut vms {
+        assert!(is_refused(detector, 650, BAD));
+        assert!(!is_refused(detector, 650, SOUND));
+    }
+    // A VM that starts later learns it, although it has seen no answers.
+    let mut late = detectors(6).pop().unwrap();
+    let suspects = vms[0].suspects(at(5_000));
+    late.merge(at(5_000), &suspects);
+    assert!(is_refused(&mut late, 5_000, BAD) || is_trial(&mut late, 5_000));
+}
+
+fn is_trial(detector: &mut Detector, ms: u64) -> bool {
+    detector.check(at(ms), &service(), &parts(BAD)) == Admission::Trial
+}
+
+#[test]
+fn one_vm_that_sees_an_answer_clears_the_part_for_all() {
+    let mut vms = detectors(3);
+    for n in 0..3 {
+        apply(&mut vms[0], 0, End(BAD, n));
+    }
+    (0..9).for_each(|_| apply(&mut vms[0], 100, Answer(SOUND)));
+    exchange(&mut vms, 600);
+    assert!(vms.iter_mut().all(|d| is_refused(d, 610, BAD)));
+    apply(&mut vms[2], 700, Answer(BAD));
+    exchange(&mut vms, 750);
+    exchange(&mut vms, 800);
+    assert!(vms.iter_mut().all(|d| d.check(at(810), &service(), &parts(BAD)) == Admission::Free));
+}
+
+#[test]
+fn messages_among_vms_end_when_nothing_changes() {
+    let mut vms = detectors(4);
+    for n in 0..4 {
+        apply(&mut vms[0], 0, End(BAD, n));
+        apply(&mut vms[1], 10, Answer(SOUND));
+    }
+    // Each message takes 5 ms.
+    for round in 1..200 {
+        let ms = round * 10;
+        let all: Vec<_> = vms.iter_mut().map(|d| d.suspects(at(ms))).collect();
+        for (to, detector) in vms.iter_mut().enumerate() {
+            for (_, suspects) in all.iter().enumerate().filter(|(from, _)| *from != to) {
+                detector.merge(at(ms + 5), suspects);
+            }
+        }
+    }
+    assert!(vms.iter().all(|d| !d.has_changes()));
+}
+
+#[test]
+fn a_blocked_part_is_tried_less_and_less_often() {
+    let mut detector = detectors(1).remove(0);
+    for n in 0..3 {
+        apply(&mut detector, u64::from(n) * 100, End(&["bad"], n));
+        (0..4).for_each(|_| apply(&mut detector, 250, Answer(SOUND)));
+    }
+    let mut trials = Vec::new();
+    for ms in (700..400_000).step_by(50) {
+        if detector.admit(at(ms), &service(), &parts(&["bad"])) == Admission::Trial {
+            trials.push(ms);
+            let failed = (&server(10 + u32::try_from(trials.len()).unwrap()), true);
+            detector.record_end(at(ms + 20), &service(), &parts(&["bad"]), failed);
+        }
+    }
+    let gaps: Vec<u64> = trials.windows(2).map(|t| (t[1] - t[0]) / 1_000).collect();
+    assert!(trials[0] < 1_000, "{trials:?}");
+    assert!(gaps.len() == 3 && gaps[0] >= 3 && gaps[1] >= 20 && gaps[2] >= 200, "{gaps:?}");
+}
+
+#[test]
+fn only_one_request_at_a_time_tries_a_part() {
+    let mut vms = detectors(3);
+    for n in 0..3 {
+        apply(&mut vms[0], 0, End(&["bad"], n));
+        (0..4).for_each(|_| apply(&mut vms[0], 100, Answer(SOUND)));
+    }
+    exchange(&mut vms, 600);
+    let mut trials = 0;
+    for ms in (610..3_600).step_by(10) {
+        for detector in &mut vms {
+            let admission = detector.admit(at(ms), &service(), &parts(&["bad"]));
+            trials += u32::from(admission == Admission::Trial);
+        }
+        exchange(&mut vms, ms + 5);
+    }
+    assert_eq!(trials, 1);
+}
+
+#[test]
+fn a_part_that_only_came_with_a_bad_one_is_soon_free() {
+    // All requests with `rare` had `bad` too, until one without it comes.
+    let mut detector = detectors(1).remove(0);
+    for n in 0..8 {
+        apply(&mut detector, u64::from(n) * 50, End(&["first", "rare", "bad"], n));
+        (0..4).for_each(|_| apply(&mut detector, u64::from(n) * 50, Answer(OTHER)));
+    }
+    let both = parts(&["first", "rare", "bad"]);
+    let rare = parts(&["first", "rare"]);
+    assert!(matches!(detector.admit(at(600), &service(), &both), Admission::Refused { .. }));
+    assert_eq!(detector.admit(at(1_000), &service(), &rare), Admission::Trial);
+    detector.record_answer(at(1_400), &service(), &rare);
+    assert_eq!(detector.admit(at(1_410), &service(), &rare), Admission::Free);
+    detector.admit(at(1_420), &service(), &parts(&["bad"]));
+    assert!(is_refused(&mut detector, 1_430, &["bad"]), "the bad part stays blocked");
+}
+
+#[test]
+fn a_part_that_turns_bad_is_blocked() {
+    let mut detector = detectors(1).remove(0);
+    for ms in (0..2_000).step_by(20) {
+        apply(&mut detector, ms, Answer(SOUND));
+        apply(&mut detector, ms, Answer(OTHER));
+    }
+    for ms in (2_000..4_000).step_by(20) {
+        let n = u32::try_from(ms / 200).unwrap();
+        apply(&mut detector, ms, End(SOUND, n));
+        apply(&mut detector, ms, Answer(OTHER));
+    }
+    assert!(is_refused(&mut detector, 4_000, SOUND));
+}
+
+#[test]
+fn services_are_told_apart() {
+    let mut detector = detectors(1).remove(0);
+    for n in 0..3 {
+        apply(&mut detector, 0, End(BAD, n));
+        (0..4).for_each(|_| apply(&mut detector, 100, Answer(SOUND)));
+    }
+    let other = ServiceName::try_from("desk").unwrap();
+    assert_eq!(detector.check(at(700), &other, &parts(BAD)), Admission::Free);
+    assert!(is_refused(&mut detector, 700, BAD));
+}
+
+#[test]
+fn memory_and_messages_are_bounded() {
+    let mut detector = detectors(1).remove(0);
+    for n in 0..20_000_u32 {
+        let name = format!("{n:x}");
+        let end = (&server(n), false);
+        detector.record_end(at(u64::from(n)), &service(), &parts(&[&name]), end);
+    }
+    assert!(detector.suspects(at(20_000)).len() <= 12);
+    let text = format!("{detector:?}");
+    assert!(text.matches("answers_before").count() <= 512, "number of records");
+    // Nothing is left after the time for which suspects are kept.
+    assert!(detector.suspects(at(60_000)).is_empty());
+}
--- a/crates/relay/src/datagram.rs
+++ b/crates/relay/src/datagram.rs
@@ -4,6 +4,7 @@
 //! requests between an entry VM and the home of a service, the VM whose broker grants its servers.
 
 use model::{AccountName, Span, VmName};
+use poison::Suspect;
 use region::{Frame, Gossip};
 use serde::{Deserialize, Serialize};
 
@@ -45,6 +46,8 @@
     Load(LoadReport),
     /// Messages about requests, between an entry VM and the home of a service.
     Frame(Frame),
+    /// Parts of requests under which servers ended, as far as the sender knows.
+    Suspects(Vec<Suspect>),
 }
 
 /// Returns the time between two reports after changes, with `others` other entry VMs.
--- a/crates/relay/src/event_loop.rs
+++ b/crates/relay/src/event_loop.rs
@@ -28,6 +28,12 @@
 const TICK_INTERVAL: Duration = Duration::from_millis(10);
 /// Interval of the reports to the other entry VMs when nothing changes.
 const IDLE_SHARE_INTERVAL: Duration = Duration::from_millis(200);
+/// Minimum interval between two messages about parts under which servers ended.
+const SUSPECTS_INTERVAL: Duration = Duration::from_millis(50);
+/// Interval of these messages while nothing changes, for VMs that missed earlier ones.
+const SUSPECTS_REFRESH: Duration = Duration::from_millis(500);
+/// Number of VMs that get such a message. They pass on what is new to them.
+const SUSPECTS_FANOUT: usize = 8;
 /// Interval at which the slots of services are logged and exported.
 const USAGE_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -37,6 +43,8 @@
     ReportSlowness(ServiceName, ServerId, f64),
     Finish(ServiceName, RequestId, Outcome),
     Withdraw(ServiceName, RequestId),
+    AnswerWentOn(RequestId),
+    ServerEnded(RequestId, ServerId),
     Plan(Arc<Plan>),
     Fleet(Fleet),
     Receive(Box<Datagram>),
@@ -146,6 +154,16 @@
         self.handle.send(Command::ReportSlowness(self.service.clone(), server.clone(), slowness));
     }
 
+    /// Reports that the answer went on for a while or is complete.
+    pub(crate) fn answer_went_on(&self) {
+        self.handle.send(Command::AnswerWentOn(self.request));
+    }
+
+    /// Reports that the server ended before its answer had gone on for a while.
+    pub(crate) fn server_ended(&self, server: &ServerId) {
+        self.handle.send(Command::ServerEnded(self.request, server.clone()));
+    }
+
     /// Reports the outcome of the exchange with the server.
     pub(crate) fn finish(mut self, outcome: Outcome) {
         self.state = State::Ended;
@@ -180,6 +198,8 @@
     environment: S,
     vm: VmName,
     other_vms: Vec<VmName>,
+    /// Index in `other_vms` of the first VM to get the next message about suspects.
+    next_told: usize,
     waiting: HashMap<RequestId, oneshot::Sender<Placement>>,
     out: Vec<Decision>,
     has_changes: bool,
@@ -203,6 +223,7 @@
         environment,
         vm,
         other_vms: Vec::new(),
+        next_told: 0,
         waiting: HashMap::new(),
         out: Vec::new(),
         has_changes: false,
@@ -216,7 +237,7 @@
     fn run(mut self, commands: &mpsc::Receiver<Command>) {
         let start = Instant::now();
         let (mut next_tick, mut next_share, mut next_idle_share) = (start, start, start);
-        let mut next_usage = start;
+        let (mut next_usage, mut next_suspects, mut next_refresh) = (start, start, start);
         loop {
             let next = if self.has_changes { next_tick.min(next_share) } else { next_tick };
             match commands.recv_timeout(next.saturating_duration_since(Instant::now())) {
@@ -248,7 +269,13 @@
                 next_idle_share = now + IDLE_SHARE_INTERVAL;
                 self.share();
             }
+            if (self.scheduler.has_new_suspects() && now >= next_suspects) || now >= next_refresh {
+                next_suspects = now + SUSPECTS_INTERVAL;
+                next_refresh = now + SUSPECTS_REFRESH;
+                self.send_suspects();
+            }
             self.scheduler.take_notices().iter().for_each(log_notice);
+            self.scheduler.take_part_notices().iter().for_each(log_part_notice);
             if now >= next_usage {
                 next_usage = now + USAGE_INTERVAL;
                 for usage in self.scheduler.service_usage(clock::since_boot()) {
@@ -261,6 +288,19 @@
         }
     }
 
+    /// Sends what is known of parts under which servers ended to the next of the other entry VMs.
+    fn send_suspects(&mut self) {
+        let suspects = self.scheduler.suspects(clock::since_boot());
+        if suspects.is_empty() || self.other_vms.is_empty() {
+            return;
+        }
+        let others = self.other_vms.iter().cycle().skip(self.next_told % self.other_vms.len());
+        let told: Vec<VmName> =
+            others.take(SUSPECTS_FANOUT.min(self.other_vms.len())).cloned().collect();
+        self.next_told = (self.next_told + told.len()) % self.other_vms.len();
+        self.environment.send(&told, &Datagram::Suspects(suspects));
+    }
+
     /// Sends a report to all other entry VMs.
     fn share(&mut self) {
         let report = self.scheduler.load_report(clock::since_boot());
@@ -290,6 +330,10 @@
                 self.waiting.remove(&request);
                 self.scheduler.withdraw(now, &service, request, &mut self.out);
             }
+            Command::AnswerWentOn(request) => self.scheduler.answer_went_on(now, request),
+            Command::ServerEnded(request, server) => {
+                self.scheduler.server_ended(now, request, &server);
+            }
             Command::Plan(plan) => self.scheduler.set_plan(now, plan, &mut self.out),
             Command::Fleet(fleet) => {
                 self.other_vms =
@@ -299,6 +343,7 @@
             Command::Receive(datagram) => match *datagram {
                 Datagram::Load(report) => self.scheduler.receive_load(now, report),
                 Datagram::Frame(frame) => self.scheduler.receive_frame(now, frame, &mut self.out),
+                Datagram::Suspects(suspects) => self.scheduler.receive_suspects(now, &suspects),
             },
             Command::RestoreUsage(usage) => self.scheduler.restore_usage(now, &usage),
         }
@@ -340,6 +385,23 @@
     }
 }
 
+fn log_part_notice(notice: &poison::Notice) {
+    match notice {
+        poison::Notice::Blocked { service, part, ends, answers } => spdlog::warn!(
+            "part is blocked",
+            kv: { service = service.as_str(), part = part.to_string(), ends = *ends, answers = *answers }
+        ),
+        poison::Notice::Tried { service, part, failures } => spdlog::info!(
+            "blocked part is tried",
+            kv: { service = service.as_str(), part = part.to_string(), failures = *failures }
+        ),
+        poison::Notice::Cleared { service, part } => spdlog::info!(
+            "part is no longer blocked",
+            kv: { service = service.as_str(), part = part.to_string() }
+        ),
+    }
+}
+
 fn log_usage(usage: &ServiceUsage) {
     let ServiceUsage { service, is_home, disputed, slots } = usage;
     spdlog::info!(
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -17,7 +17,7 @@
 use http_body_util::{BodyExt, Full, Limited, combinators::UnsyncBoxBody};
 use hyper::body::Incoming;
 use meters::Operation;
-use model::{Outcome, RefusalReason, ServerId, ServiceName, Span, Ticket, Tier, Verdict};
+use model::{Outcome, Part, RefusalReason, ServerId, ServiceName, Span, Ticket, Tier, Verdict};
 use routing::{Account, Route};
 use tokio::time::{sleep_until, timeout, timeout_at};
 
@@ -65,6 +65,8 @@
     head: request::Parts,
     caller_request: CallerRequest,
     body: Bytes,
+    /// Parts of the request that other requests may have too.
+    parts: Arc<[Part]>,
     pub(crate) route: Arc<Route>,
     account: Option<Arc<Account>>,
     service: ServiceName,
@@ -139,9 +141,16 @@
         let Admitted { plan, route, account } = admitted;
         let allowed = caller_request.timeout.unwrap_or(route.timeout).min(route.timeout);
         let service = route.service(&caller_request.id).clone();
+        let parts = if caller_request.tokens.is_some() || !caller_request.parts.is_empty() {
+            caller_request.parts.as_slice().into()
+        } else {
+            let path = head.uri.path_and_query().map_or("/", http::uri::PathAndQuery::as_str);
+            [Part::whole(path, &body)].into()
+        };
         Self {
             id: caller_request.id.clone(),
             service,
+            parts,
             tier: plan.tier(&route, account.as_deref()),
             plan_version: plan.version(),
             deadline: started + allowed,
@@ -248,6 +257,7 @@
             late: self.late(),
             charge: self.charge(),
             is_retry,
+            parts: Arc::clone(&self.parts),
         };
         let submitted = Instant::now();
         let mut submission = self.frontend.handle.submit(placement_request);
@@ -390,6 +400,9 @@
         };
         let verdict = failure.verdict();
         let outcome = if verdict == Verdict::NotRun { Outcome::NotSent } else { Outcome::Failed };
+        if matches!(failure, Failure::Broken { .. }) {
+            submission.server_ended(&server);
+        }
         submission.finish(outcome);
         self.possible_runs += u32::from(verdict != Verdict::NotRun);
         self.log_send_failure(&server, (&failure.to_string(), Duration::ZERO), verdict, sent);
@@ -433,7 +446,7 @@
 
     /// Returns the parts of the prompt as text for logs.
     fn parts_text(&self) -> String {
-        let parts = self.caller_request.parts.iter().map(ToString::to_string);
+        let parts = self.parts.iter().map(ToString::to_string);
         parts.collect::<Vec<_>>().join(",")
     }
 
@@ -511,6 +524,9 @@
         let body = match read {
             Ok(Ok(body)) => body,
             Ok(Err(failure)) => {
+                if matches!(failure, Failure::Broken { .. }) {
+                    submission.server_ended(&server);
+                }
                 submission.finish(Outcome::Failed);
                 self.log_send_failure(
                     &server,
@@ -532,6 +548,9 @@
                 return Err(may_have_run(RefusalReason::Timeout));
             }
         };
+        if !exchange.ends_with_connection() {
+            submission.answer_went_on();
+        }
         let total = Span::from(sent.elapsed());
         let ok = !exchange.status().is_server_error();
         submission.finish(if ok {
--- a/crates/relay/src/scheduler.rs
+++ b/crates/relay/src/scheduler.rs
@@ -13,9 +13,10 @@
 use broker::{LateLimits, Offer};
 use keeper::{Phase, Server, Spending};
 use model::{
-    AccountName, Announcement, Duty, Fencing, Kind, Outcome, RefusalReason, RequestId, ServerId,
-    ServiceName, Span, Ticket, Time, VmName, ZoneName,
+    AccountName, Announcement, Duty, Fencing, Kind, Outcome, Part, RefusalReason, RequestId,
+    ServerId, ServiceName, Span, Ticket, Time, VmName, ZoneName,
 };
+use poison::{Admission, Detector, Suspect};
 use region::{Frame, GrantDecision, Notice, Region, ServiceUsage};
 use routing::{Plan, Quota};
 
@@ -59,6 +60,8 @@
     /// Whether the request may have reached a server before, so that it counts against the retry
     /// budget.
     pub is_retry: bool,
+    /// Parts of the request that other requests may have too.
+    pub parts: Arc<[Part]>,
 }
 
 /// The result of placing a request.
@@ -98,6 +101,14 @@
     pub entries: BTreeMap<VmName, ZoneName>,
 }
 
+/// A request that waits or runs, with the parts by which it may end its server.
+struct OpenRequest {
+    service: ServiceName,
+    parts: Arc<[Part]>,
+    /// Whether it was let through to try a blocked part.
+    is_trial: bool,
+}
+
 /// Admits the requests of one entry VM and places them on backend servers, for all services.
 pub struct Scheduler {
     vm: VmName,
@@ -109,6 +120,8 @@
     quotas: Quotas,
     budgets: RetryBudgets,
     charges: HashMap<RequestId, Charge>,
+    detector: Detector,
+    open: HashMap<RequestId, OpenRequest>,
     /// Incarnation and sequence number of the last report of each other entry VM.
     last_reports: BTreeMap<VmName, (u64, u64)>,
     next_offer: Time,
@@ -127,6 +140,8 @@
         budgets.set_vms(DEFAULT_ENTRY_VMS);
         Self {
             region: Region::new(vm.clone(), incarnation),
+            detector: Detector::new(vm.clone()),
+            open: HashMap::new(),
             vm,
             incarnation,
             seq: 0,
@@ -171,7 +186,7 @@
             let server_zone = (&server.id, &server.zone);
             self.region.update_server(now, &server.service, server_zone, (duty, announcement));
         }
-        self.collect_decisions(out);
+        self.collect_decisions(now, out);
     }
 
     /// Restores the quota usage of all entry VMs from before this one started.
@@ -185,20 +200,24 @@
         self.quotas.spending(now)
     }
 
-    /// Submits a request that needs a server. It is refused at once if the retry budget or the
-    /// quota is exhausted.
+    /// Submits a request that needs a server. It is refused at once if one of its parts is blocked,
+    /// or if the retry budget or the quota is exhausted.
     pub fn submit(
         &mut self,
         now: Time,
         placement_request: PlacementRequest,
         out: &mut Vec<Decision>,
     ) {
-        let PlacementRequest { ticket, avoid, late, charge, is_retry } = placement_request;
+        let PlacementRequest { ticket, avoid, late, charge, is_retry, parts } = placement_request;
         let request = ticket.request;
         let refuse = |reason, retry_after| Decision {
             request,
             placement: Placement::Refused { reason, retry_after },
         };
+        if let Admission::Refused { wait } = self.detector.check(now, &ticket.service, &parts) {
+            out.push(refuse(RefusalReason::BlockedPart, Some(wait)));
+            return;
+        }
         if is_retry && !self.budgets.try_retry(now, &ticket.service) {
             out.push(refuse(RefusalReason::RetryBudget, None));
             return;
@@ -214,10 +233,12 @@
         if !is_retry {
             self.budgets.record_first(now, &ticket.service);
         }
+        let service = ticket.service.clone();
+        self.open.insert(request, OpenRequest { service, parts, is_trial: false });
         let owner = self.vm.clone();
         let offer = Offer { ticket, owner, urgent: true, avoid, late: Some(late) };
         self.region.submit(now, offer);
-        self.collect_decisions(out);
+        self.collect_decisions(now, out);
     }
 
     /// Records the outcome of a granted request.
@@ -228,8 +249,44 @@
         (request, outcome): (RequestId, Outcome),
         out: &mut Vec<Decision>,
     ) {
+        self.open.remove(&request);
         self.region.finish(now, service, (request, outcome));
-        self.collect_decisions(out);
+        self.collect_decisions(now, out);
+    }
+
+    /// Records that the answer to a granted request went on for a while or is complete.
+    pub fn answer_went_on(&mut self, now: Time, request: RequestId) {
+        if let Some(OpenRequest { service, parts, .. }) = self.open.get(&request) {
+            self.detector.record_answer(now, service, parts);
+        }
+    }
+
+    /// Records that the server of a granted request ended before its answer had gone on for a while.
+    pub fn server_ended(&mut self, now: Time, request: RequestId, server: &ServerId) {
+        if let Some(OpenRequest { service, parts, is_trial }) = self.open.get(&request) {
+            self.detector.record_end(now, service, parts, (server, *is_trial));
+        }
+    }
+
+    /// Merges what another entry VM knows of parts under which servers ended.
+    pub fn receive_suspects(&mut self, now: Time, suspects: &[Suspect]) {
+        self.detector.merge(now, suspects);
+    }
+
+    /// Returns what is to be sent to other entry VMs of parts under which servers ended.
+    pub fn suspects(&mut self, now: Time) -> Vec<Suspect> {
+        self.detector.suspects(now)
+    }
+
+    /// Returns whether suspects should be sent to other entry VMs at once.
+    #[must_use]
+    pub fn has_new_suspects(&self) -> bool {
+        self.detector.has_changes()
+    }
+
+    /// Takes the notices about blocked parts.
+    pub fn take_part_notices(&mut self) -> Vec<poison::Notice> {
+        self.detector.take_notices()
     }
 
     /// Records that the response to a granted request has started.
@@ -241,7 +298,7 @@
         out: &mut Vec<Decision>,
     ) {
         self.region.answer_started(now, service, request);
-        self.collect_decisions(out);
+        self.collect_decisions(now, out);
     }
 
     /// Records the slowness that a server reported: the duration of work there relative to usual.
@@ -263,8 +320,9 @@
         out: &mut Vec<Decision>,
     ) {
         self.refund(request);
+        self.open.remove(&request);
         self.region.withdraw(now, service, request);
-        self.collect_decisions(out);
+        self.collect_decisions(now, out);
     }
 
     /// Advances the time. Must be called regularly.
@@ -274,7 +332,7 @@
             self.offer_servers(now, out);
         }
         self.region.tick(now);
-        self.collect_decisions(out);
+        self.collect_decisions(now, out);
     }
 
     /// Sets whether this VM can grant servers to the requests of other VMs: it receives answers of
@@ -327,7 +385,7 @@
     /// Processes another entry VM's messages about requests.
     pub fn receive_frame(&mut self, now: Time, frame: Frame, out: &mut Vec<Decision>) {
         self.region.receive_frame(now, frame);
-        self.collect_decisions(out);
+        self.collect_decisions(now, out);
     }
 
     /// Takes the messages about requests that are to be sent to other entry VMs now.
@@ -353,26 +411,44 @@
         self.region.service_usage(now)
     }
 
-    fn collect_decisions(&mut self, out: &mut Vec<Decision>) {
-        for decision in self.region.take_decisions() {
-            match decision {
-                GrantDecision::Granted { request, server, address } => {
+    fn collect_decisions(&mut self, now: Time, out: &mut Vec<Decision>) {
+        let mut decisions = self.region.take_decisions();
+        while !decisions.is_empty() {
+            for decision in decisions {
+                out.push(self.decide(now, decision));
+            }
+            // Returning a grant may grant the server to another request.
+            decisions = self.region.take_decisions();
+        }
+    }
+
+    /// Turns a decision about a grant into one about the request. A part may have been blocked while
+    /// the request waited; its grant is then returned.
+    fn decide(&mut self, now: Time, decision: GrantDecision) -> Decision {
+        let (request, reason, wait) = match decision {
+            GrantDecision::Granted { request, server, address } => {
+                let open = self.open.get_mut(&request);
+                let admission = open.map_or(Admission::Free, |open| {
+                    let admission = self.detector.admit(now, &open.service, &open.parts);
+                    open.is_trial = admission == Admission::Trial;
+                    admission
+                });
+                let Admission::Refused { wait } = admission else {
                     self.charges.remove(&request);
-                    out.push(Decision {
-                        request,
-                        placement: Placement::Granted { server, address },
-                    });
-                }
-                GrantDecision::Declined { request, reason, wait } => {
-                    self.refund(request);
-                    let retry_after = Some(wait);
-                    out.push(Decision {
-                        request,
-                        placement: Placement::Refused { reason, retry_after },
-                    });
+                    let placement = Placement::Granted { server, address };
+                    return Decision { request, placement };
+                };
+                if let Some(OpenRequest { service, .. }) = self.open.get(&request) {
+                    self.region.finish(now, service, (request, Outcome::Cancelled));
                 }
+                (request, RefusalReason::BlockedPart, wait)
             }
-        }
+            GrantDecision::Declined { request, reason, wait } => (request, reason, wait),
+        };
+        self.open.remove(&request);
+        self.refund(request);
+        let placement = Placement::Refused { reason, retry_after: Some(wait) };
+        Decision { request, placement }
     }
 }
 
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -8,6 +8,7 @@
     time::{Duration, Instant},
 };
 
+use backend::Failure;
 use bytes::Bytes;
 use futures_util::StreamExt;
 use http::Response;
@@ -28,12 +29,18 @@
 /// Maximum number of chunks of whole events queued for a caller that reads slowly.
 const MAX_QUEUED_CHUNKS: usize = 16;
 
+/// Time for which the events of an answer must have been arriving to show that the request does not
+/// end its server. A server that ends by a request does so when it begins to write its answer.
+const PROOF_TIME: Duration = Duration::from_millis(300);
+
 /// The state of a stream from one server.
 struct StreamState {
     events: EventSplitter,
     response: StartedResponse,
     /// Time from the send to the first events of this server.
     first: Option<Span>,
+    /// Whether the answer of this server went on for [`PROOF_TIME`].
+    went_on: bool,
     times: EventTimes,
 }
 
@@ -78,7 +85,12 @@
             };
             match chunk {
                 Err(_) => return StreamPart::Broken("no event for too long".into()),
-                Ok(Err(failure)) => return StreamPart::Broken(failure.to_string()),
+                Ok(Err(failure)) => {
+                    if matches!(failure, Failure::Broken { .. }) && !self.went_on {
+                        self.response.submission.server_ended(&self.response.server);
+                    }
+                    return StreamPart::Broken(failure.to_string());
+                }
                 Ok(Ok(None)) => return StreamPart::End(self.events.take_partial()),
                 Ok(Ok(Some(bytes))) => match self.events.push(&bytes) {
                     Ok(whole) if whole.is_empty() => {}
@@ -88,6 +100,9 @@
                             self.response.submission.response_started();
                         }
                         self.times.record(Instant::now());
+                        if !self.went_on && self.answering() >= PROOF_TIME {
+                            self.record_proof();
+                        }
                         return StreamPart::Events(whole);
                     }
                     Err(error) => return StreamPart::Broken(error.to_string()),
@@ -102,7 +117,15 @@
         self.first.map_or(Duration::ZERO, |first| elapsed.saturating_sub(Duration::from(first)))
     }
 
-    fn finish(self) -> ServerId {
+    fn record_proof(&mut self) {
+        self.went_on = true;
+        self.response.submission.answer_went_on();
+    }
+
+    fn finish(mut self) -> ServerId {
+        if !self.went_on && !self.response.exchange.ends_with_connection() {
+            self.record_proof();
+        }
         let total = Span::from(self.response.sent.elapsed());
         let first = self.first.unwrap_or(total);
         let tokens = self.events.count();
@@ -122,6 +145,7 @@
             events: self.events(),
             response,
             first: None,
+            went_on: false,
             times: EventTimes::default(),
         };
         let part = stream.next(self.deadline, self.first_event_timeout()).await;
@@ -251,6 +275,6 @@
                 after = events.last().unwrap_or(0)
             }
         );
-        Some(StreamState { events, response, first: None, times })
+        Some(StreamState { events, response, first: None, went_on: false, times })
     }
 }
