Treat a stream that ends inside an event as broken off

What callers saw: a stream cut inside an event by a server that sends neither a length nor chunks, or that ends its chunks there, was passed on as a complete answer with status 200, and not resumed.

Cause: the end of the body was taken for the end of the stream, and the bytes after the last whole event for its last part. Class: the end of the transport taken for the end of the message.

Change: entry VMs break such a stream off, and resume it where the route allows. The node without roles does the same for responses of events of plain services, and takes a chat stream for complete only after the empty line that follows its end marker; an error event no longer runs into an event that has begun.

A cut between two events of a response without length cannot be told from its end and is still passed on.

--- a/crates/backend/src/stream.rs
+++ b/crates/backend/src/stream.rs
@@ -4,11 +4,12 @@
 //! counts the events and detects the marker that ends the stream.
 
 /// The progress of a stream.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum StreamState {
     /// The end marker has not arrived.
+    #[default]
     Open,
-    /// The end marker has arrived.
+    /// The event with the end marker has arrived.
     Complete,
     /// A line is longer than 256 KiB, so the bytes are not a stream of events.
     Invalid,
@@ -36,8 +37,11 @@
 pub struct StreamReader {
     line: Vec<u8>,
     events: u32,
-    complete: bool,
-    invalid: bool,
+    /// Whether the line with the end marker has arrived.
+    has_marker: bool,
+    state: StreamState,
+    /// Whether an event has begun and not ended.
+    inside: bool,
 }
 
 impl StreamReader {
@@ -46,19 +50,27 @@
         for byte in bytes {
             if *byte == b'\n' {
                 self.end_line();
-            } else if self.line.len() < MAX_LINE_BYTES {
+                continue;
+            }
+            self.inside |= *byte != b'\r';
+            if self.line.len() < MAX_LINE_BYTES {
                 self.line.push(*byte);
-            } else {
-                self.invalid = true;
+            } else if self.state == StreamState::Open {
+                self.state = StreamState::Invalid;
             }
         }
     }
 
     /// Evaluates a complete line.
     fn end_line(&mut self) {
-        if let Some(data) = self.line.strip_prefix(b"data:") {
+        if self.line.trim_ascii().is_empty() {
+            self.inside = false;
+            if self.has_marker {
+                self.state = StreamState::Complete;
+            }
+        } else if let Some(data) = self.line.strip_prefix(b"data:") {
             if data.trim_ascii() == END_MARKER {
-                self.complete = true;
+                self.has_marker = true;
             } else {
                 self.events = self.events.saturating_add(1);
             }
@@ -73,13 +85,16 @@
         self.events
     }
 
+    /// Returns whether an event has begun and not ended, so that a stream that ends here was broken
+    /// off.
+    #[must_use]
+    pub fn is_inside_event(&self) -> bool {
+        self.inside
+    }
+
     /// Returns the progress of the stream.
     #[must_use]
     pub fn state(&self) -> StreamState {
-        match (self.complete, self.invalid) {
-            (true, _) => StreamState::Complete,
-            (false, true) => StreamState::Invalid,
-            (false, false) => StreamState::Open,
-        }
+        self.state
     }
 }
--- a/crates/entry/src/chat.rs
+++ b/crates/entry/src/chat.rs
@@ -234,6 +234,8 @@
     async fn end_with_error(mut self, failure: RequestFailure) -> (io::Result<Bytes>, Self) {
         let error_body = self.context.fail(failure).await;
         self.ended = true;
-        (Ok(Bytes::from(error_body.event())), self)
+        // An event that has begun must not run into the error.
+        let end = if self.reader.is_inside_event() { "\n\n" } else { "" };
+        (Ok(Bytes::from(format!("{end}{}", error_body.event()))), self)
     }
 }
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -6,10 +6,11 @@
 
 use std::io;
 
+use backend::{Failure, StreamReader};
 use bytes::Bytes;
 use futures_util::stream;
 use gotham::helpers::http::Body;
-use http::{HeaderMap, HeaderValue, Method, Response, StatusCode};
+use http::{HeaderMap, HeaderValue, Method, Response, StatusCode, header::CONTENT_TYPE};
 use model::{Outcome, RefusalReason, RequestId};
 use state::{Answer, MAX_ANSWER_BYTES};
 
@@ -137,6 +138,8 @@
     first_byte: Option<std::time::Duration>,
     /// Bytes of the announced content length that have not arrived. `None` without such a length.
     remaining: Option<u64>,
+    /// Follows the events of a response that consists of events.
+    events: Option<StreamReader>,
     ended: bool,
 }
 
@@ -152,6 +155,29 @@
     }
 }
 
+impl ForwardedBody {
+    /// Returns whether the response consists of events, and one has begun and not ended.
+    fn is_inside_event(&self) -> bool {
+        self.events.as_ref().is_some_and(StreamReader::is_inside_event)
+    }
+
+    /// Ends a response that is not complete. The error in the body aborts the connection before the
+    /// announced length or the final chunk, so that the caller notices it.
+    async fn break_off(mut self, failure: &Failure) -> (io::Result<Bytes>, Self) {
+        self.running.submission.finish(Outcome::Failed);
+        let request_failure =
+            RequestFailure { reason: RefusalReason::Broken, ..exchange_failure(failure) };
+        self.context.fail(request_failure).await;
+        self.ended = true;
+        (Err(io::Error::other(failure.clone())), self)
+    }
+}
+
+/// Returns the failure of a stream that ended inside an event.
+fn inside_event() -> Failure {
+    Failure::Broken { why: "the stream ended inside an event".into() }
+}
+
 /// Returns a response whose body is forwarded while it arrives.
 fn forward_body(context: RequestContext, running: RunningRequest) -> Response<Body> {
     let mut response = response_head(&context, &running, Body::default());
@@ -160,7 +186,11 @@
     if let Some(length) = length {
         response.headers_mut().insert(http::header::CONTENT_LENGTH, length);
     }
-    let forwarded = ForwardedBody { context, running, first_byte: None, remaining, ended: false };
+    let content_type = running.exchange.headers().get(CONTENT_TYPE).and_then(|t| t.to_str().ok());
+    let is_stream = content_type.is_some_and(|t| t.starts_with("text/event-stream"));
+    let events = is_stream.then(StreamReader::default);
+    let forwarded =
+        ForwardedBody { context, running, first_byte: None, remaining, events, ended: false };
     *response.body_mut() = body::stream(stream::unfold(forwarded, next_chunk));
     response
 }
@@ -170,8 +200,14 @@
     match forwarded.running.exchange.chunk().await {
         Ok(Some(bytes)) => {
             forwarded.first_byte.get_or_insert(forwarded.running.sent.elapsed());
+            if let Some(events) = &mut forwarded.events {
+                events.push(&bytes);
+            }
             forwarded.remaining =
                 forwarded.remaining.map(|remaining| remaining.saturating_sub(bytes.len() as u64));
+            if forwarded.remaining == Some(0) && forwarded.is_inside_event() {
+                return Some(forwarded.break_off(&inside_event()).await);
+            }
             if forwarded.remaining == Some(0) {
                 // hyper does not poll the body again once all announced bytes were forwarded.
                 forwarded.complete();
@@ -179,6 +215,9 @@
             }
             Some((Ok(bytes), forwarded))
         }
+        Ok(None) if !forwarded.ended && forwarded.is_inside_event() => {
+            Some(forwarded.break_off(&inside_event()).await)
+        }
         Ok(None) => {
             if !forwarded.ended {
                 forwarded.complete();
@@ -186,15 +225,6 @@
             None
         }
         Err(_) if forwarded.ended => None,
-        Err(failure) => {
-            forwarded.running.submission.finish(Outcome::Failed);
-            let request_failure =
-                RequestFailure { reason: RefusalReason::Broken, ..exchange_failure(&failure) };
-            forwarded.context.fail(request_failure).await;
-            forwarded.ended = true;
-            // An error in the body aborts the connection before the announced length or the final
-            // chunk, so the caller notices that the response is incomplete.
-            Some((Err(io::Error::other(failure)), forwarded))
-        }
+        Err(failure) => Some(forwarded.break_off(&failure).await),
     }
 }
--- a/crates/fuchsiausher/tests/faults.rs
+++ b/crates/fuchsiausher/tests/faults.rs
@@ -118,6 +118,24 @@
     cluster.stop().await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_that_ends_inside_an_event_does_not_look_complete() {
+    let cluster = start(TestClusterConfig::small()).await;
+    for server in &cluster.servers {
+        server.set_fault(Fault::EndInsideEvent);
+    }
+    let answer = chat(&cluster, true).await;
+    let text = String::from_utf8_lossy(&answer.body).into_owned();
+    assert!(text.contains("\n\nevent: error\n"), "the error is an event of its own: {text}");
+    assert_eq!(error_body(&answer).error.reason, RefusalReason::Broken);
+    // A response without an end marker of its own is aborted.
+    let headers = [("authorization", "Bearer tier-0".to_owned())];
+    let path = "/services/order-desk/stock";
+    let stock = call(cluster.caller_address(0), "GET", path, &headers, Vec::new()).await;
+    assert!(stock.is_err(), "{:?}", stock.map(|answer| answer.body));
+    cluster.stop().await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn answer_of_another_request_is_not_passed_on() {
     let cluster = start(TestClusterConfig::small()).await;
--- a/crates/relay/src/events.rs
+++ b/crates/relay/src/events.rs
@@ -143,10 +143,11 @@
         (self.line_start, self.searched) = (0, 0);
     }
 
-    /// Takes the bytes after the last whole event, once the stream has ended.
-    pub fn take_partial(&mut self) -> Bytes {
-        (self.line_start, self.searched) = (0, 0);
-        self.partial.split().freeze()
+    /// Returns whether bytes follow the last whole event, so that a stream that ends here was broken
+    /// off.
+    #[must_use]
+    pub fn is_inside_event(&self) -> bool {
+        !self.partial.is_empty()
     }
 }
 
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -66,8 +66,8 @@
 enum StreamPart {
     /// The events that the latest chunk completed, without any that were received before.
     Events(Bytes),
-    /// The end of the stream, with the bytes after the last whole event.
-    End(Bytes),
+    /// The end of the stream, after a whole event.
+    End,
     /// The stream broke off, for the given reason.
     Broken(String),
     /// The deadline of the request has passed.
@@ -86,12 +86,18 @@
             match chunk {
                 Err(_) => return StreamPart::Broken("no event for too long".into()),
                 Ok(Err(failure)) => {
-                    if matches!(failure, Failure::Broken { .. }) && !self.went_on {
-                        self.response.submission.server_ended(&self.response.server);
+                    if matches!(failure, Failure::Broken { .. }) {
+                        self.record_server_end();
                     }
                     return StreamPart::Broken(failure.to_string());
                 }
-                Ok(Ok(None)) => return StreamPart::End(self.events.take_partial()),
+                Ok(Ok(None)) => {
+                    let Some(why) = self.early_end() else {
+                        return StreamPart::End;
+                    };
+                    self.record_server_end();
+                    return StreamPart::Broken(why.into());
+                }
                 Ok(Ok(Some(bytes))) => match self.events.push(&bytes) {
                     Ok(whole) if whole.is_empty() => {}
                     Ok(whole) => {
@@ -117,6 +123,18 @@
         self.first.map_or(Duration::ZERO, |first| elapsed.saturating_sub(Duration::from(first)))
     }
 
+    /// Returns why a stream that has ended here is not complete, if that can be told.
+    fn early_end(&self) -> Option<&'static str> {
+        self.events.is_inside_event().then_some("the stream ended inside an event")
+    }
+
+    /// Records that the server stopped, unless its answer had gone on for a while.
+    fn record_server_end(&self) {
+        if !self.went_on {
+            self.response.submission.server_ended(&self.response.server);
+        }
+    }
+
     fn record_proof(&mut self) {
         self.went_on = true;
         self.response.submission.answer_went_on();
@@ -163,11 +181,11 @@
                 tokio::spawn(self.forward_events(stream, sender));
                 return Ok(response);
             }
-            StreamPart::End(bytes) => {
+            StreamPart::End => {
                 let (events, times) = (stream.events.count(), stream.times);
                 let server = stream.finish();
                 self.log_answer(&server, status, events, times);
-                return Ok(self.response(status, &headers, crate::forward::full(bytes)));
+                return Ok(self.response(status, &headers, crate::forward::full(Bytes::new())));
             }
             StreamPart::Broken(why) => {
                 self.log_send_failure(
@@ -209,10 +227,7 @@
                     let _ = caller.send(Ok(bytes)).await;
                     continue;
                 }
-                StreamPart::End(bytes) => {
-                    if !bytes.is_empty() {
-                        let _ = caller.send(Ok(bytes)).await;
-                    }
+                StreamPart::End => {
                     let (status, events) =
                         (stream.response.exchange.status(), stream.events.count());
                     let times = stream.times;
--- a/crates/stand/src/engine.rs
+++ b/crates/stand/src/engine.rs
@@ -304,7 +304,11 @@
     if state.sent == state.chat.tokens {
         state.sent += 1;
         state.running.finish();
-        return Some((Ok(Bytes::from_static(b"data: [DONE]\n\n")), state));
+        let marker: &[u8] = match state.fault {
+            Fault::EndInsideEvent => b"data: [DONE]\n",
+            _ => b"data: [DONE]\n\n",
+        };
+        return Some((Ok(Bytes::from_static(marker)), state));
     }
     let interval = token_interval(&state.shared);
     state.due += interval;
--- a/crates/stand/src/faults.rs
+++ b/crates/stand/src/faults.rs
@@ -19,13 +19,16 @@
     Hang,
     /// Sends header lines without end, until the client closes the connection.
     EndlessHead,
+    /// Ends a streamed answer, or a call's answer of events, inside an event, but closes the body
+    /// correctly.
+    EndInsideEvent,
     /// Sends a body without end and without line breaks, until the client closes the connection.
     EndlessBody,
 }
 
 impl Fault {
     /// All faults, in the order of their discriminants.
-    const ALL: [Self; 8] = [
+    const ALL: [Self; 9] = [
         Self::None,
         Self::CloseUnanswered,
         Self::CloseMidAnswer,
@@ -33,6 +36,7 @@
         Self::WrongRequestId,
         Self::Hang,
         Self::EndlessHead,
+        Self::EndInsideEvent,
         Self::EndlessBody,
     ];
 }
--- a/crates/stand/src/plain.rs
+++ b/crates/stand/src/plain.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
-use hyper::{Request, Response, body::Incoming};
+use hyper::{Request, Response, body::Incoming, header::CONTENT_TYPE};
 use serde_json::json;
 
 use crate::{
@@ -39,6 +39,12 @@
     }
     pause(shared.faults.slowed_duration(shared.config.pace.decode_us)).await;
     add(&shared.stats.finished, 1);
+    if fault == Fault::EndInsideEvent {
+        let body = Full::new(Bytes::from_static(b"data: a\n\ndata: b\n")).map_err(infallible);
+        let mut response = Response::new(Body::new(body));
+        response.headers_mut().insert(CONTENT_TYPE, "text/event-stream".parse().unwrap());
+        return Ok(response);
+    }
     let value = json!({
         "server": shared.config.id,
         "method": method.as_str(),
