Treat an answer that ends with its connection before its first event as broken off

An answer may have neither a length nor chunks and end with its connection. A server that ends before it has written an event closes the connection as well, and the caller got status 200 with an empty body, which looked complete. A stream without any event is broken off now, and resumed where the route allows; it also counts as an end of the server.

--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -123,9 +123,18 @@
         self.first.map_or(Duration::ZERO, |first| elapsed.saturating_sub(Duration::from(first)))
     }
 
-    /// Returns why a stream that has ended here is not complete, if that can be told.
+    /// Returns why a stream that has ended here is not complete, if that can be told. A server that
+    /// stops between two events of a stream with neither length nor chunks cannot be told from one
+    /// that has sent all of them.
     fn early_end(&self) -> Option<&'static str> {
-        self.events.is_inside_event().then_some("the stream ended inside an event")
+        let has_no_event = self.events.last().is_none() && self.events.count() == 0;
+        if self.events.is_inside_event() {
+            Some("the stream ended inside an event")
+        } else if has_no_event && self.response.exchange.ends_with_connection() {
+            Some("the connection ended before the first event")
+        } else {
+            None
+        }
     }
 
     /// Records that the server stopped, unless its answer had gone on for a while.
