Keep requests from servers at nodes without roles too

Such a node now asks the same detector before it sends, with the messages of a chat but the last as parts, or a plain call as a whole. Each VM learns for itself; they do not exchange what they know.

--- a/crates/backend/src/lib.rs
+++ b/crates/backend/src/lib.rs
@@ -17,5 +17,5 @@
     client::{Client, REQUEST_ID, Timeouts},
     exchange::Exchange,
     failure::Failure,
-    stream::{StreamReader, StreamState},
+    stream::{PROOF_TIME, StreamReader, StreamState},
 };
--- a/crates/backend/src/stream.rs
+++ b/crates/backend/src/stream.rs
@@ -3,6 +3,8 @@
 //! A [`StreamReader`] observes the bytes of a chat-completion stream while they are forwarded. It
 //! counts the events and detects the marker that ends the stream.
 
+use std::time::Duration;
+
 /// The progress of a stream.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum StreamState {
@@ -15,6 +17,10 @@
     Invalid,
 }
 
+/// Time for which the events of an answer must have been arriving to show that the request does not
+/// end its server. A server that ends by a request does so when it begins to write its answer.
+pub const PROOF_TIME: Duration = Duration::from_millis(300);
+
 /// Data of the event that ends a chat-completion stream.
 const END_MARKER: &[u8] = b"[DONE]";
 /// Maximum number of bytes of a line.
--- a/crates/entry/src/app.rs
+++ b/crates/entry/src/app.rs
@@ -7,7 +7,7 @@
     future::Future,
     pin::Pin,
     sync::{
-        Arc,
+        Arc, Mutex,
         atomic::{AtomicBool, Ordering},
     },
     time::{Duration, SystemTime, UNIX_EPOCH},
@@ -20,9 +20,10 @@
 use meters::Meters;
 use model::{RequestId, VmName, ZoneName};
 use peer::{EntryProtocol, PeerHandler, Question, Reply};
+use poison::Detector;
 use store::Ledger;
 
-use crate::recent::RecentOutcomes;
+use crate::{recent::RecentOutcomes, suspicion::SharedDetector};
 
 /// Access to the other VMs of the system.
 pub trait Peers: Send + Sync {
@@ -70,6 +71,7 @@
 pub struct App {
     pub(crate) config: Arc<AppConfig>,
     pub(crate) recent: Arc<RecentOutcomes>,
+    pub(crate) detector: SharedDetector,
     stopping: Arc<AtomicBool>,
 }
 
@@ -89,7 +91,13 @@
     /// Creates an app that is not stopping.
     #[must_use]
     pub fn new(config: AppConfig) -> Self {
-        Self { config: Arc::new(config), recent: Arc::default(), stopping: Arc::default() }
+        let detector = Arc::new(Mutex::new(Detector::new(config.vm.clone())));
+        Self {
+            config: Arc::new(config),
+            recent: Arc::default(),
+            detector,
+            stopping: Arc::default(),
+        }
     }
 
     /// Makes the readiness check fail, so that the load balancer sends no more requests.
--- a/crates/entry/src/chat.rs
+++ b/crates/entry/src/chat.rs
@@ -6,7 +6,7 @@
 
 use std::{io, time::Duration};
 
-use backend::{StreamReader, StreamState};
+use backend::{Failure, PROOF_TIME, StreamReader, StreamState};
 use bytes::Bytes;
 use futures_util::stream;
 use gotham::helpers::http::Body;
@@ -55,7 +55,8 @@
     })?;
     let service = authorize(context, &entry, &chat.model)?;
     let ticket = create_ticket(context, &entry, service, &headers, chat.estimate(), true)?;
-    let outgoing = OutgoingRequest { method: Method::POST, path: PATH.into(), headers, body };
+    let (method, path, parts) = (Method::POST, PATH.into(), chat.parts());
+    let outgoing = OutgoingRequest { method, path, headers, body, parts };
     let mut running = dispatch(context, ticket, &outgoing).await?;
     let status = running.exchange.status();
     if status.is_server_error() {
@@ -107,6 +108,9 @@
     };
     match result {
         Ok(body) => {
+            if !running.exchange.ends_with_connection() {
+                running.suspicion.answer_went_on();
+            }
             let total = running.sent.elapsed();
             let tokens = completion_tokens(&body);
             running.submission.finish(done(total, total, tokens));
@@ -116,6 +120,9 @@
             response
         }
         Err(failure) => {
+            if matches!(failure, Failure::Broken { .. }) {
+                running.suspicion.server_ended();
+            }
             running.submission.finish(Outcome::Failed);
             context.refuse(exchange_failure(&failure)).await
         }
@@ -184,8 +191,14 @@
         Ok(None) if forwarded.reader.state() == StreamState::Complete => None,
         // The response was complete, so a failure after its end marker does not matter.
         Err(_) if forwarded.complete => None,
-        Ok(None) => Some(forwarded.break_off("the stream ended without its end marker").await),
+        Ok(None) => {
+            forwarded.running.suspicion.server_ended();
+            Some(forwarded.break_off("the stream ended without its end marker").await)
+        }
         Err(failure) => {
+            if matches!(failure, Failure::Broken { .. }) {
+                forwarded.running.suspicion.server_ended();
+            }
             forwarded.running.submission.finish(Outcome::Failed);
             let request_failure =
                 RequestFailure { reason: RefusalReason::Broken, ..exchange_failure(&failure) };
@@ -203,6 +216,11 @@
             let meters = &self.context.app.config.meters;
             meters.record_first_byte(self.context.arrived.elapsed().as_secs_f64());
         }
+        let since_first =
+            self.first_event.map(|first| self.running.sent.elapsed().saturating_sub(first));
+        if since_first.is_some_and(|time| time >= PROOF_TIME) {
+            self.running.suspicion.answer_went_on();
+        }
         if self.reader.state() == StreamState::Complete && !self.complete {
             self.complete();
         }
@@ -212,6 +230,7 @@
     /// because callers may close the connection once they have received the marker.
     fn complete(&mut self) {
         self.complete = true;
+        self.running.suspicion.answer_went_on();
         let total = self.running.sent.elapsed();
         let first = self.first_event.unwrap_or(total);
         self.running.submission.finish(done(first, total, self.reader.events()));
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -11,12 +11,13 @@
 use driver::{Event, Submission};
 use http::{HeaderMap, HeaderValue, Method, Request};
 use http_body_util::Full;
-use model::{Entry, Outcome, RefusalReason, ServiceName, Span, Ticket, Verdict};
+use model::{Entry, Outcome, Part, RefusalReason, ServiceName, Span, Ticket, Verdict};
 
 use crate::{
     context::{RequestContext, RequestFailure},
     estimate::Estimate,
     headers::{self, REQUEST_ID},
+    suspicion::Suspicion,
 };
 
 /// A dispatched request whose response head has arrived.
@@ -24,6 +25,7 @@
     pub(crate) exchange: Exchange,
     pub(crate) submission: Submission,
     pub(crate) sent: Instant,
+    pub(crate) suspicion: Suspicion,
 }
 
 /// The parts of a request to a backend server.
@@ -32,6 +34,8 @@
     pub(crate) path: String,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    /// Parts of the request that other requests may have too.
+    pub(crate) parts: Vec<Part>,
 }
 
 /// Finds the account whose credential the request presents.
@@ -110,10 +114,21 @@
     ticket: Ticket,
     outgoing: &OutgoingRequest,
 ) -> Result<RunningRequest, RequestFailure> {
+    let parts = outgoing.parts.clone();
+    let mut suspicion = Suspicion::new(&context.app.detector, ticket.service.clone(), parts);
     let mut submission = context.app.config.handle.submit(ticket);
     loop {
         let address = match submission.next().await {
-            Event::Granted { address, .. } => address,
+            Event::Granted { server, address } => {
+                if let Err(wait) = suspicion.admit(server) {
+                    submission.finish(Outcome::Cancelled);
+                    let reason = RefusalReason::BlockedPart;
+                    let mut failure = RequestFailure::not_run(reason, refusal_text(reason));
+                    failure.retry_after = Some(wait);
+                    return Err(failure);
+                }
+                address
+            }
             Event::Refused { reason, retry } => {
                 let mut failure = RequestFailure::not_run(reason, refusal_text(reason));
                 failure.retry_after = retry;
@@ -140,11 +155,14 @@
         match result {
             Ok(exchange) => {
                 context.mark_dispatched();
-                return Ok(RunningRequest { exchange, submission, sent });
+                return Ok(RunningRequest { exchange, submission, sent, suspicion });
             }
             Err(Failure::NotSent { .. }) => submission.finish(Outcome::NotSent),
             Err(failure) => {
                 context.mark_dispatched();
+                if matches!(failure, Failure::Broken { .. }) {
+                    suspicion.server_ended();
+                }
                 submission.finish(Outcome::Failed);
                 return Err(exchange_failure(&failure));
             }
@@ -233,6 +251,7 @@
         RefusalReason::Shed => "capacity goes to requests of the same or a higher tier",
         RefusalReason::Deadline => "the deadline cannot be met",
         RefusalReason::Stopping => "this VM is stopping",
+        RefusalReason::BlockedPart => "servers ended by requests that share a part with this one",
         _ => "the request was refused",
     }
 }
--- a/crates/entry/src/estimate.rs
+++ b/crates/entry/src/estimate.rs
@@ -5,6 +5,7 @@
 
 use std::hash::Hasher;
 
+use model::Part;
 use serde::Deserialize;
 
 /// Average number of bytes of text per token.
@@ -65,6 +66,17 @@
         Ok(chat)
     }
 
+    /// Returns the parts that other requests may have too: all messages but the last, which is the
+    /// request's own, or the start of a single message that is long enough.
+    pub(crate) fn parts(&self) -> Vec<Part> {
+        let texts: Vec<String> = self.messages.iter().map(ChatMessage::text).collect();
+        match texts.as_slice() {
+            [only] => only.get(..PREFIX_BYTES).map(Part::from).into_iter().collect(),
+            [shared @ .., _] => shared.iter().map(|text| Part::from(text.as_str())).collect(),
+            [] => Vec::new(),
+        }
+    }
+
     /// Estimates the lengths of prompt and answer, and hashes the prompt's prefix.
     pub(crate) fn estimate(&self) -> Estimate {
         let texts: Vec<String> = self.messages.iter().map(ChatMessage::text).collect();
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -20,6 +20,7 @@
 mod recent;
 mod records;
 mod serve;
+mod suspicion;
 
 pub use crate::{
     admin::admin_router,
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -11,7 +11,7 @@
 use futures_util::stream;
 use gotham::helpers::http::Body;
 use http::{HeaderMap, HeaderValue, Method, Response, StatusCode, header::CONTENT_TYPE};
-use model::{Outcome, RefusalReason, RequestId};
+use model::{Outcome, Part, RefusalReason, RequestId};
 use state::{Answer, MAX_ANSWER_BYTES};
 
 use crate::{
@@ -87,7 +87,8 @@
         }
     }
     let ServiceCall { method, path, headers, body, .. } = call;
-    let outgoing = OutgoingRequest { method, path, headers, body };
+    let parts = vec![Part::whole(&path, &body)];
+    let outgoing = OutgoingRequest { method, path, headers, body, parts };
     dispatch(context, ticket, &outgoing).await.map(|r| Started::Running(Box::new(r)))
 }
 
@@ -100,10 +101,16 @@
     let body = match running.exchange.read(MAX_BUFFERED_BYTES).await {
         Ok(body) => body,
         Err(failure) => {
+            if matches!(failure, Failure::Broken { .. }) {
+                running.suspicion.server_ended();
+            }
             running.submission.finish(Outcome::Failed);
             return context.refuse(exchange_failure(&failure)).await;
         }
     };
+    if !running.exchange.ends_with_connection() {
+        running.suspicion.answer_went_on();
+    }
     let total = running.sent.elapsed();
     running.submission.finish(done(total, total, 0));
     if let Some(key) = context.claim_key.take() {
@@ -147,6 +154,9 @@
     /// Ends the request after the last byte.
     fn complete(&mut self) {
         self.ended = true;
+        if !self.running.exchange.ends_with_connection() {
+            self.running.suspicion.answer_went_on();
+        }
         let total = self.running.sent.elapsed();
         let first = self.first_byte.unwrap_or(total);
         self.running.submission.finish(done(first, total, 0));
@@ -164,6 +174,9 @@
     /// Ends a response that is not complete. The error in the body aborts the connection before the
     /// announced length or the final chunk, so that the caller notices it.
     async fn break_off(mut self, failure: &Failure) -> (io::Result<Bytes>, Self) {
+        if matches!(failure, Failure::Broken { .. }) {
+            self.running.suspicion.server_ended();
+        }
         self.running.submission.finish(Outcome::Failed);
         let request_failure =
             RequestFailure { reason: RefusalReason::Broken, ..exchange_failure(failure) };
--- a/crates/fuchsiausher/tests/faults.rs
+++ b/crates/fuchsiausher/tests/faults.rs
@@ -6,7 +6,7 @@
 use fuchsiausher::{TestCluster, TestClusterConfig, chat_body};
 use model::{RefusalReason, Verdict};
 use serde_json::{Value, json};
-use stand::{Fault, HttpResponse, call};
+use stand::{ENDING_TEXT, Fault, HttpResponse, call};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
@@ -136,6 +136,43 @@
     cluster.stop().await;
 }
 
+/// Sends a chat with these messages and one that no other chat has.
+async fn chat_with(cluster: &TestCluster, texts: &[&str], n: u32) -> HttpResponse {
+    let own = format!("question {n}");
+    let texts = texts.iter().copied().chain([own.as_str()]);
+    let messages: Vec<Value> = texts.map(|text| json!({"role": "user", "content": text})).collect();
+    let body = json!({"model": "loom-model", "max_tokens": 4, "messages": messages});
+    cluster.chat(0, "tier-0", body.to_string().into_bytes()).await.expect("an answer arrives")
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn message_that_ends_servers_is_not_sent_to_one_server_after_the_other() {
+    let mut config = TestClusterConfig::small();
+    config.groups[0].count = 5;
+    let cluster = start(config).await;
+    for server in &cluster.servers {
+        server.set_fault(Fault::EndByText);
+    }
+    let mut sent = Vec::new();
+    for n in 0..60 {
+        let bad = chat_with(&cluster, &["the manual", ENDING_TEXT], n).await;
+        sent.push(runs(&cluster, &id_of(&bad)));
+        if *sent.last().unwrap() == 0 {
+            assert_eq!(bad.status, 503);
+            assert_eq!(error_body(&bad).error.reason, RefusalReason::BlockedPart);
+            assert_eq!(error_body(&bad).error.verdict, Verdict::NotRun);
+        }
+        for m in 0..2 {
+            let sound = chat_with(&cluster, &["the manual"], 1_000 + 2 * n + m).await;
+            assert_eq!(sound.status, 200, "sound requests share the first message");
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    let late: u64 = sent[30..].iter().sum();
+    assert!(late <= 3, "{late} of the last 30 bad requests were sent to servers: {sent:?}");
+    cluster.stop().await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn answer_of_another_request_is_not_passed_on() {
     let cluster = start(TestClusterConfig::small()).await;
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -8,7 +8,7 @@
     time::{Duration, Instant},
 };
 
-use backend::Failure;
+use backend::{Failure, PROOF_TIME};
 use bytes::Bytes;
 use futures_util::StreamExt;
 use http::Response;
@@ -29,10 +29,6 @@
 /// Maximum number of chunks of whole events queued for a caller that reads slowly.
 const MAX_QUEUED_CHUNKS: usize = 16;
 
-/// Time for which the events of an answer must have been arriving to show that the request does not
-/// end its server. A server that ends by a request does so when it begins to write its answer.
-const PROOF_TIME: Duration = Duration::from_millis(300);
-
 /// The state of a stream from one server.
 struct StreamState {
     events: EventSplitter,
--- a/crates/stand/src/engine.rs
+++ b/crates/stand/src/engine.rs
@@ -23,7 +23,7 @@
 use tokio::time::Instant;
 
 use crate::{
-    faults::Fault,
+    faults::{ENDING_TEXT, Fault},
     server::{Body, Shared, infallible},
     stats::add,
 };
@@ -156,6 +156,10 @@
     }
 }
 
+fn contains(body: &[u8], text: &str) -> bool {
+    body.windows(text.len()).any(|part| part == text.as_bytes())
+}
+
 /// Handles a chat completion request or, on `/orders`, a placement order.
 pub(crate) async fn handle(
     shared: Arc<Shared>,
@@ -173,6 +177,9 @@
     let mut running = RunningRequest::start(&shared);
     match shared.faults.get() {
         Fault::CloseUnanswered => return Err(io::Error::other("closed by an injected fault")),
+        Fault::EndByText if contains(&body, ENDING_TEXT) => {
+            return Err(io::Error::other("closed by an injected fault"));
+        }
         Fault::Hang => std::future::pending().await,
         _ => {}
     }
--- a/crates/stand/src/faults.rs
+++ b/crates/stand/src/faults.rs
@@ -2,6 +2,9 @@
 
 use std::sync::atomic::{AtomicU8, AtomicU64, Ordering};
 
+/// Text in the body of a request that [`Fault::EndByText`] fails.
+pub const ENDING_TEXT: &str = "a text that ends servers";
+
 /// A fault that a stand-in injects into its answers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Fault {
@@ -19,6 +22,9 @@
     Hang,
     /// Sends header lines without end, until the client closes the connection.
     EndlessHead,
+    /// Closes the connections of requests whose body contains [`ENDING_TEXT`], as a server that ends
+    /// by such a request does.
+    EndByText,
     /// Ends a streamed answer, or a call's answer of events, inside an event, but closes the body
     /// correctly.
     EndInsideEvent,
@@ -28,7 +34,7 @@
 
 impl Fault {
     /// All faults, in the order of their discriminants.
-    const ALL: [Self; 9] = [
+    const ALL: [Self; 10] = [
         Self::None,
         Self::CloseUnanswered,
         Self::CloseMidAnswer,
@@ -36,6 +42,7 @@
         Self::WrongRequestId,
         Self::Hang,
         Self::EndlessHead,
+        Self::EndByText,
         Self::EndInsideEvent,
         Self::EndlessBody,
     ];
--- a/crates/stand/src/lib.rs
+++ b/crates/stand/src/lib.rs
@@ -17,7 +17,7 @@
     announce::Announcer,
     call::{CallError, HttpResponse, call},
     engine::PrefixHolders,
-    faults::Fault,
+    faults::{ENDING_TEXT, Fault},
     server::{Config, Pace, Role, Server},
     stats::{PlacementOrder, Stats, Totals},
 };
