Tell other VMs first which parts were cleared

Suspects of which others have not been told the latest now go first, blocked and cleared parts before others, and a part that was blocked is remembered for two minutes.

Failed before: poison vms_learn_that_a_part_is_cleared_while_there_are_many_suspects.

--- a/crates/poison/src/detector.rs
+++ b/crates/poison/src/detector.rs
@@ -32,6 +32,9 @@
 /// Time for which it is remembered that a part was cleared, so that ends before that, which other
 /// VMs still report, do not count.
 const CLEARED_TTL: Span = Span::from_secs(3);
+/// Time for which this is remembered of a part that was blocked: VMs that were cut off may still
+/// block it.
+const UNBLOCKED_TTL: Span = Span::from_secs(120);
 /// Maximum number of parts that are remembered.
 const MAX_RECORDS: usize = 512;
 /// Maximum number of suspects in a message.
@@ -123,7 +126,6 @@
     vm: VmName,
     records: BTreeMap<(ServiceName, Part), Record>,
     services: BTreeMap<ServiceName, ServiceRecord>,
-    changed: bool,
     notices: Vec<Notice>,
 }
 
@@ -131,13 +133,7 @@
     /// Creates the detector of a VM that has seen nothing yet.
     #[must_use]
     pub fn new(vm: VmName) -> Self {
-        Self {
-            vm,
-            records: BTreeMap::new(),
-            services: BTreeMap::new(),
-            changed: false,
-            notices: Vec::new(),
-        }
+        Self { vm, records: BTreeMap::new(), services: BTreeMap::new(), notices: Vec::new() }
     }
 
     /// Returns whether a request with these parts could be sent now.
@@ -171,7 +167,7 @@
                 let record = self.records.get_mut(&(service.clone(), *part));
                 if let Some(record) = record.filter(|r| r.blocked.is_some()) {
                     record.tried = Some(now);
-                    self.changed = true;
+                    record.unsent = true;
                     let (service, part, failures) = (service.clone(), *part, record.failures);
                     self.notices.push(Notice::Tried { service, part, failures });
                 }
@@ -197,7 +193,7 @@
                 self.notices.push(Notice::Cleared { service, part });
             }
             record.clear(now);
-            self.changed = true;
+            record.unsent = true;
         }
     }
 
@@ -223,7 +219,7 @@
                 record.failures += 1;
                 is_news = true;
             }
-            self.changed |= is_news;
+            record.unsent |= is_news;
         }
     }
 
@@ -237,7 +233,7 @@
             let is_news = record.merge(now, suspect);
             let is_blocked = record.blocked.is_some();
             let ends = record.ends();
-            self.changed |= is_news;
+            record.unsent |= is_news;
             let (service, part) = (service.clone(), part);
             match (was_blocked, is_blocked) {
                 (false, true) => {
@@ -249,26 +245,29 @@
         }
     }
 
-    /// Returns the suspects for other VMs, the weightiest ones first; empty if there are none.
+    /// Returns the suspects for other VMs: first those of which they have not been told the latest,
+    /// then those that VMs may have missed. It is empty if there are none.
     pub fn suspects(&mut self, now: Time) -> Vec<Suspect> {
-        self.changed = false;
         self.forget(now);
         let keys: Vec<_> = self.records.keys().cloned().collect();
         for (service, part) in keys {
             self.block_if_proven(now, &service, part);
         }
-        let mut records: Vec<_> = self.records.iter().collect();
-        records.sort_by_key(|(_, r)| {
-            std::cmp::Reverse((r.blocked.is_some(), r.ends(), r.last_end.max(r.cleared)))
-        });
-        let sent = records.into_iter().take(MAX_SUSPECTS);
-        sent.map(|((service, part), record)| record.suspect(now, service, *part)).collect()
+        let due = self.records.iter_mut().filter(|(_, r)| r.unsent || r.is_weighty());
+        let mut due: Vec<_> = due.collect();
+        due.sort_by_key(|(_, r)| std::cmp::Reverse((r.unsent, r.is_decided(), r.ends())));
+        let sent = due.into_iter().take(MAX_SUSPECTS);
+        sent.map(|((service, part), record)| {
+            record.unsent = false;
+            record.suspect(now, service, *part)
+        })
+        .collect()
     }
 
     /// Returns whether something changed that other VMs should learn at once.
     #[must_use]
     pub fn has_changes(&self) -> bool {
-        self.changed
+        self.records.values().any(|record| record.unsent)
     }
 
     /// Takes the changes since the last call.
@@ -307,11 +306,11 @@
 
     fn forget(&mut self, now: Time) {
         self.records.retain(|_, record| {
-            let since =
-                |at: Option<Time>| at.map_or(Span::from_secs(u64::MAX / 1_000_000), |at| now - at);
-            since(record.cleared) < CLEARED_TTL
-                || since(record.last_end) < SUSPECT_TTL
-                || (record.blocked.is_some() && since(record.last_end) < BLOCKED_TTL)
+            let within = |at: Option<Time>, ttl| at.is_some_and(|at| now < at + ttl);
+            let is_blocked = record.blocked.is_some();
+            let end_ttl = if is_blocked { BLOCKED_TTL } else { SUSPECT_TTL };
+            let cleared_ttl = if record.was_blocked { UNBLOCKED_TTL } else { CLEARED_TTL };
+            within(record.last_end, end_ttl) || within(record.cleared, cleared_ttl)
         });
     }
 
@@ -339,7 +338,7 @@
             return;
         }
         record.blocked = Some(now);
-        self.changed = true;
+        record.unsent = true;
         let (service, ends) = (service.clone(), record.ends());
         self.notices.push(Notice::Blocked { service, part, ends, answers });
     }
--- a/crates/poison/src/record.rs
+++ b/crates/poison/src/record.rs
@@ -27,6 +27,10 @@
     pub(crate) blocked: Option<Time>,
     pub(crate) failures: u32,
     pub(crate) tried: Option<Time>,
+    /// Whether the part was blocked until it was cleared.
+    pub(crate) was_blocked: bool,
+    /// Whether other VMs have not been told the latest.
+    pub(crate) unsent: bool,
     /// Number of answers of the service that had gone on when the first end became known.
     pub(crate) answers_before: u64,
 }
@@ -40,6 +44,16 @@
         self.ends.iter().any(|(id, _)| id == server)
     }
 
+    /// Returns whether the part is or was blocked.
+    pub(crate) fn is_decided(&self) -> bool {
+        self.blocked.is_some() || self.was_blocked
+    }
+
+    /// Returns whether other VMs are told again and again, so that those that missed it learn it.
+    pub(crate) fn is_weighty(&self) -> bool {
+        self.is_decided() || self.ends.len() > 1
+    }
+
     /// Adds the end of a server. Returns whether it is a new one.
     pub(crate) fn add_end(&mut self, at: Time, server: &ServerId) -> bool {
         let same = |(id, known): &(ServerId, Time)| {
@@ -61,7 +75,14 @@
         let is_news = self.cleared.is_none_or(|cleared| cleared + MAX_SKEW < at);
         if is_news || !self.ends.is_empty() {
             let kept = self.ends.drain(..).filter(|(_, end)| *end > at).collect();
-            *self = Self { ends: kept, cleared: Some(at), ..Self::default() };
+            let was_blocked = self.was_blocked || self.blocked.is_some();
+            *self = Self {
+                ends: kept,
+                cleared: Some(at),
+                was_blocked,
+                unsent: self.unsent,
+                ..Self::default()
+            };
             self.first_end = self.ends.iter().map(|(_, end)| *end).min();
             self.last_end = self.ends.iter().map(|(_, end)| *end).max();
         }
--- a/crates/poison/tests/detector.rs
+++ b/crates/poison/tests/detector.rs
@@ -182,6 +182,43 @@
     assert!(vms.iter_mut().all(|d| d.check(at(810), &service(), &parts(BAD)) == Admission::Free));
 }
 
+#[test]
+fn vms_learn_that_a_part_is_cleared_while_there_are_many_suspects() {
+    let mut vms = detectors(3);
+    for n in 0..3 {
+        apply(&mut vms[0], 0, End(BAD, n));
+    }
+    (0..9).for_each(|_| apply(&mut vms[0], 100, Answer(SOUND)));
+    exchange(&mut vms, 600);
+    // One message does not hold all of these.
+    for n in 0..60_u32 {
+        for id in 0..2 {
+            let name = format!("{:x}", 0x1000 + n);
+            vms[0].record_end(at(650), &service(), &parts(&[&name]), (&server(id), false));
+        }
+    }
+    apply(&mut vms[0], 700, Answer(BAD));
+    exchange(&mut vms, 710);
+    exchange(&mut vms, 760);
+    for detector in &mut vms {
+        assert_eq!(detector.check(at(800), &service(), &parts(BAD)), Admission::Free);
+    }
+    // A VM that was cut off meanwhile still blocks the part.
+    let mut cut_off = detectors(4).pop().unwrap();
+    for n in 0..3 {
+        apply(&mut cut_off, 0, End(BAD, n));
+    }
+    (0..9).for_each(|_| apply(&mut cut_off, 100, Answer(SOUND)));
+    assert!(is_refused(&mut cut_off, 600, BAD));
+    vms.push(cut_off);
+    for ms in (20_000..20_600).step_by(50) {
+        exchange(&mut vms, ms);
+    }
+    for detector in &mut vms {
+        assert_eq!(detector.check(at(20_600), &service(), &parts(BAD)), Admission::Free);
+    }
+}
+
 #[test]
 fn messages_among_vms_end_when_nothing_changes() {
     let mut vms = detectors(4);
