Do not count the end of a connection as the end of its server

Cause: an answer that breaks off was taken for the end of its server, although that server went on answering others.

An end counts after 0.3 s, and not if the server is seen to answer any request 0.1 to 1 s after it; a server that did end is away for longer. VMs tell each other of that too, and a part whose ends were refuted is no longer blocked. Failures of trials are counted among the ends, so that they can be refuted as well. The test of the node without roles lets its servers end instead of closing one connection, as the latter no longer counts.

Failed before: poison ends_of_servers_that_go_on_answering_others_do_not_count.

--- a/crates/entry/src/suspicion.rs
+++ b/crates/entry/src/suspicion.rs
@@ -50,6 +50,9 @@
     pub(crate) fn answer_went_on(&mut self) {
         if !std::mem::replace(&mut self.settled, true) {
             let mut detector = self.lock();
+            if let Some(server) = &self.server {
+                detector.record_alive(clock::since_boot(), &self.service, server);
+            }
             detector.record_answer(clock::since_boot(), &self.service, &self.parts);
             log_notices(detector.take_notices());
         }
--- a/crates/poison/src/detector.rs
+++ b/crates/poison/src/detector.rs
@@ -4,10 +4,11 @@
 
 use model::{Part, ServerId, ServiceName, Span, Time, VmName, unit_hash};
 
-use crate::{record::Record, suspect::Suspect};
+use crate::{
+    record::{MIN_ENDS, Record},
+    suspect::Suspect,
+};
 
-/// Minimum number of servers that ended before a part is blocked.
-const MIN_ENDS: u32 = 3;
 /// Minimum time from the first end until a part is blocked. Sound parts are usually in other
 /// requests too, and one of these is answered within this time.
 const MIN_DOUBT: Span = Span::from_millis(500);
@@ -116,7 +117,7 @@
 ///         detector.record_answer(now, &service, &sound);
 ///     }
 /// }
-/// let now = Time::from_micros(700_000);
+/// let now = Time::from_micros(1_000_000);
 /// assert_eq!(detector.check(now, &service, &sound), Admission::Free);
 /// assert!(matches!(detector.check(now, &service, &bad), Admission::Refused { .. }));
 /// # Ok::<(), model::Error>(())
@@ -168,7 +169,7 @@
                 if let Some(record) = record.filter(|r| r.blocked.is_some()) {
                     record.tried = Some(now);
                     record.unsent = true;
-                    let (service, part, failures) = (service.clone(), *part, record.failures);
+                    let (service, part, failures) = (service.clone(), *part, record.failures());
                     self.notices.push(Notice::Tried { service, part, failures });
                 }
             }
@@ -197,6 +198,20 @@
         }
     }
 
+    /// Records that a server is answering. If it seemed to end shortly before, only connections to
+    /// it ended.
+    pub fn record_alive(&mut self, now: Time, service: &ServiceName, server: &ServerId) {
+        for ((of_service, part), record) in &mut self.records {
+            if of_service == service {
+                record.unsent |= record.refute(now, server);
+                if record.unblock_if_refuted(now) {
+                    let (service, part) = (service.clone(), *part);
+                    self.notices.push(Notice::Cleared { service, part });
+                }
+            }
+        }
+    }
+
     /// Records that a server ended before its answer to a request had gone on for a while. `server`
     /// is the server, and whether the request was let through as a trial.
     pub fn record_end(
@@ -214,12 +229,8 @@
         of_service.failed.push_back((server.clone(), now));
         for part in parts {
             let Some(record) = self.record(now, service, *part, answers) else { continue };
-            let mut is_news = record.add_end(now, server);
-            if is_trial && record.blocked.is_some() {
-                record.failures += 1;
-                is_news = true;
-            }
-            record.unsent |= is_news;
+            let is_trial = is_trial && record.blocked.is_some();
+            record.unsent |= record.add_end(now, server, (is_trial, false));
         }
     }
 
@@ -292,7 +303,7 @@
         if !self.records.contains_key(&key) && self.records.len() >= MAX_RECORDS {
             self.forget(now);
             let suspects = self.records.iter().filter(|(_, r)| r.blocked.is_none());
-            let oldest = suspects.min_by_key(|(_, r)| r.last_end).map(|(key, _)| key.clone());
+            let oldest = suspects.min_by_key(|(_, r)| r.last_end()).map(|(key, _)| key.clone());
             if self.records.len() >= MAX_RECORDS {
                 self.records.remove(&oldest?);
             }
@@ -310,7 +321,7 @@
             let is_blocked = record.blocked.is_some();
             let end_ttl = if is_blocked { BLOCKED_TTL } else { SUSPECT_TTL };
             let cleared_ttl = if record.was_blocked { UNBLOCKED_TTL } else { CLEARED_TTL };
-            within(record.last_end, end_ttl) || within(record.cleared, cleared_ttl)
+            within(record.last_end(), end_ttl) || within(record.cleared, cleared_ttl)
         });
     }
 
@@ -322,10 +333,11 @@
     /// Blocks a part if chance does not explain that no answer with it has gone on.
     fn block_if_proven(&mut self, now: Time, service: &ServiceName, part: Part) {
         let Some(record) = self.records.get_mut(&(service.clone(), part)) else { return };
-        let Some(first_end) = record.first_end.filter(|first| now - *first >= MIN_DOUBT) else {
+        let Some(first_end) = record.first_end().filter(|first| now - *first >= MIN_DOUBT) else {
             return;
         };
-        if record.blocked.is_some() || record.ends() < MIN_ENDS {
+        let ends = record.confirmed_ends(now);
+        if record.blocked.is_some() || ends < MIN_ENDS {
             return;
         }
         let Some(of_service) = self.services.get(service) else { return };
@@ -334,19 +346,19 @@
         let failed = failed.filter(|(id, at)| *at >= first_end && !record.has_end(id)).count();
         let failed = u32::try_from(failed).unwrap_or(u32::MAX);
         let answers = of_service.answers - record.answers_before;
-        if chance(record.ends(), failed, answers) > SIGNIFICANCE {
+        if chance(ends, failed, answers) > SIGNIFICANCE {
             return;
         }
         record.blocked = Some(now);
         record.unsent = true;
-        let (service, ends) = (service.clone(), record.ends());
+        let service = service.clone();
         self.notices.push(Notice::Blocked { service, part, ends, answers });
     }
 
     /// Returns when the next trial of a blocked part may begin here, with the delay of `steps` more
     /// failures.
     fn next_trial(&self, part: Part, record: &Record, steps: u32) -> Time {
-        let factor = 10_u64.saturating_pow(record.failures + steps);
+        let factor = 10_u64.saturating_pow(record.failures() + steps);
         let delay = Span::from_micros(TRIAL_DELAY.as_micros().saturating_mul(factor));
         let delay = delay.min(MAX_TRIAL_DELAY);
         let spread = unit_hash(&part.to_string(), self.vm.as_str()) * TRIAL_SPREAD;
--- a/crates/poison/src/suspect.rs
+++ b/crates/poison/src/suspect.rs
@@ -12,6 +12,10 @@
     pub server: ServerId,
     /// Time since its end was noticed.
     pub age: Span,
+    /// Whether the request was let through to try a blocked part.
+    pub is_trial: bool,
+    /// Whether the server answered others soon after, so that only a connection ended.
+    pub is_refuted: bool,
 }
 
 /// What one VM knows of a part under which servers ended.
@@ -27,8 +31,6 @@
     pub cleared: Option<Span>,
     /// Time since the part was blocked. `None` if it is not blocked.
     pub blocked: Option<Span>,
-    /// Number of requests that were let through to try the blocked part and ended a server.
-    pub failures: u32,
     /// Time since a request was last let through.
     pub tried: Option<Span>,
 }
--- a/crates/relay/src/scheduler.rs
+++ b/crates/relay/src/scheduler.rs
@@ -105,6 +105,8 @@
 struct OpenRequest {
     service: ServiceName,
     parts: Arc<[Part]>,
+    /// Server that was granted.
+    server: Option<ServerId>,
     /// Whether it was let through to try a blocked part.
     is_trial: bool,
 }
@@ -234,7 +236,7 @@
             self.budgets.record_first(now, &ticket.service);
         }
         let service = ticket.service.clone();
-        self.open.insert(request, OpenRequest { service, parts, is_trial: false });
+        self.open.insert(request, OpenRequest { service, parts, server: None, is_trial: false });
         let owner = self.vm.clone();
         let offer = Offer { ticket, owner, urgent: true, avoid, late: Some(late) };
         self.region.submit(now, offer);
@@ -249,6 +251,9 @@
         (request, outcome): (RequestId, Outcome),
         out: &mut Vec<Decision>,
     ) {
+        if matches!(outcome, Outcome::Done { .. }) {
+            self.record_alive(now, request);
+        }
         self.open.remove(&request);
         self.region.finish(now, service, (request, outcome));
         self.collect_decisions(now, out);
@@ -256,14 +261,21 @@
 
     /// Records that the answer to a granted request went on for a while or is complete.
     pub fn answer_went_on(&mut self, now: Time, request: RequestId) {
+        self.record_alive(now, request);
         if let Some(OpenRequest { service, parts, .. }) = self.open.get(&request) {
             self.detector.record_answer(now, service, parts);
         }
     }
 
+    fn record_alive(&mut self, now: Time, request: RequestId) {
+        if let Some(OpenRequest { service, server: Some(server), .. }) = self.open.get(&request) {
+            self.detector.record_alive(now, service, server);
+        }
+    }
+
     /// Records that the server of a granted request ended before its answer had gone on for a while.
     pub fn server_ended(&mut self, now: Time, request: RequestId, server: &ServerId) {
-        if let Some(OpenRequest { service, parts, is_trial }) = self.open.get(&request) {
+        if let Some(OpenRequest { service, parts, is_trial, .. }) = self.open.get(&request) {
             self.detector.record_end(now, service, parts, (server, *is_trial));
         }
     }
@@ -297,6 +309,7 @@
         request: RequestId,
         out: &mut Vec<Decision>,
     ) {
+        self.record_alive(now, request);
         self.region.answer_started(now, service, request);
         self.collect_decisions(now, out);
     }
@@ -431,6 +444,7 @@
                 let admission = open.map_or(Admission::Free, |open| {
                     let admission = self.detector.admit(now, &open.service, &open.parts);
                     open.is_trial = admission == Admission::Trial;
+                    open.server = Some(server.clone());
                     admission
                 });
                 let Admission::Refused { wait } = admission else {
--- a/crates/stand/src/engine.rs
+++ b/crates/stand/src/engine.rs
@@ -178,7 +178,8 @@
     match shared.faults.get() {
         Fault::CloseUnanswered => return Err(io::Error::other("closed by an injected fault")),
         Fault::EndByText if contains(&body, ENDING_TEXT) => {
-            return Err(io::Error::other("closed by an injected fault"));
+            shared.ended.notify_one();
+            std::future::pending::<()>().await;
         }
         Fault::Hang => std::future::pending().await,
         _ => {}
--- a/crates/stand/src/faults.rs
+++ b/crates/stand/src/faults.rs
@@ -2,7 +2,7 @@
 
 use std::sync::atomic::{AtomicU8, AtomicU64, Ordering};
 
-/// Text in the body of a request that [`Fault::EndByText`] fails.
+/// Text in the body of a request at which [`Fault::EndByText`] ends the stand-in.
 pub const ENDING_TEXT: &str = "a text that ends servers";
 
 /// A fault that a stand-in injects into its answers.
@@ -22,8 +22,8 @@
     Hang,
     /// Sends header lines without end, until the client closes the connection.
     EndlessHead,
-    /// Closes the connections of requests whose body contains [`ENDING_TEXT`], as a server that ends
-    /// by such a request does.
+    /// Ends at a request whose body contains [`ENDING_TEXT`]: closes the listener and all
+    /// connections, and listens again after 1.2 s.
     EndByText,
     /// Ends a streamed answer, or a call's answer of events, inside an event, but closes the body
     /// correctly.
--- a/crates/stand/src/server.rs
+++ b/crates/stand/src/server.rs
@@ -1,6 +1,6 @@
 //! The HTTP server of a stand-in, its configuration and its life cycle.
 
-use std::{convert::Infallible, net::SocketAddr, sync::Arc};
+use std::{convert::Infallible, net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http_body_util::combinators::UnsyncBoxBody;
@@ -9,7 +9,7 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
-    sync::Mutex,
+    sync::{Mutex, Notify},
     task::JoinHandle,
 };
 
@@ -65,12 +65,17 @@
     pub holders: Arc<PrefixHolders>,
 }
 
+/// Time for which a stand-in that a request ended is away.
+const DOWN_TIME: Duration = Duration::from_millis(1_200);
+
 /// State shared by the request handlers of one stand-in.
 #[derive(Debug)]
 pub(crate) struct Shared {
     pub(crate) config: Config,
     pub(crate) stats: Arc<Stats>,
     pub(crate) faults: Faults,
+    /// Notified when a request ends the stand-in.
+    pub(crate) ended: Notify,
     /// The prefix cache. It is locked while a prompt is prefilled, because an engine prefills one
     /// prompt at a time.
     pub(crate) cache: Mutex<engine::Cache>,
@@ -99,7 +104,13 @@
         let address = listener.local_addr()?;
         let cache = Mutex::new(engine::Cache::new(config.cache, Arc::clone(&config.holders)));
         let stats = Arc::new(Stats::default());
-        let shared = Arc::new(Shared { config, stats, faults: Faults::default(), cache });
+        let shared = Arc::new(Shared {
+            config,
+            stats,
+            faults: Faults::default(),
+            ended: Notify::new(),
+            cache,
+        });
         let connections: Arc<std::sync::Mutex<Vec<JoinHandle<()>>>> = Arc::default();
         let accept = accept_connections(listener, Arc::clone(&shared), Arc::clone(&connections));
         let accept_task = tokio::spawn(accept);
@@ -156,11 +167,7 @@
     pub fn kill(&mut self) {
         self.stop_announcing();
         self.accept_task.abort();
-        if let Ok(mut connections) = self.connections.lock() {
-            for connection in connections.drain(..) {
-                connection.abort();
-            }
-        }
+        abort_all(&self.connections);
     }
 }
 
@@ -170,13 +177,40 @@
     }
 }
 
+fn abort_all(connections: &std::sync::Mutex<Vec<JoinHandle<()>>>) {
+    if let Ok(mut connections) = connections.lock() {
+        for connection in connections.drain(..) {
+            connection.abort();
+        }
+    }
+}
+
 /// Accepts connections and serves each in a task of its own.
 async fn accept_connections(
     listener: TcpListener,
     shared: Arc<Shared>,
     connections: Arc<std::sync::Mutex<Vec<JoinHandle<()>>>>,
 ) {
-    while let Ok((stream, _)) = listener.accept().await {
+    let address = listener.local_addr();
+    let mut listener = Some(listener);
+    loop {
+        let Some(open) = &listener else {
+            tokio::time::sleep(DOWN_TIME).await;
+            let Ok(address) = address else { return };
+            listener = TcpListener::bind(address).await.ok();
+            continue;
+        };
+        let accepted = tokio::select! {
+            accepted = open.accept() => accepted,
+            () = shared.ended.notified() => {
+                abort_all(&connections);
+                Err(std::io::Error::other("ended by a request"))
+            }
+        };
+        let Ok((stream, _)) = accepted else {
+            listener = None;
+            continue;
+        };
         let _ = stream.set_nodelay(true);
         let shared = Arc::clone(&shared);
         let task = tokio::spawn(async move {
