--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -58,6 +58,9 @@
     /// Current duration of work on the server's VM relative to its usual duration: 1 is the usual
     /// speed, 2 is half of it. `None` if the server does not say.
     pub slowness: Option<f64>,
+    /// Number of requests a second that the server takes from all VMs together, as long as it says
+    /// so. `None` if it names no limit.
+    pub limit: Option<f64>,
 }
 
 /// The failure of a request that no server answers.
--- a/crates/relay/src/event_loop.rs
+++ b/crates/relay/src/event_loop.rs
@@ -41,6 +41,7 @@
     Submit(Box<PlacementRequest>, oneshot::Sender<Placement>),
     ResponseStarted(ServiceName, RequestId),
     ReportSlowness(ServiceName, ServerId, f64),
+    ReportLimit(ServiceName, ServerId, Option<f64>),
     Finish(ServiceName, RequestId, Outcome),
     Withdraw(ServiceName, RequestId),
     AnswerWentOn(RequestId),
@@ -154,6 +155,11 @@
         self.handle.send(Command::ReportSlowness(self.service.clone(), server.clone(), slowness));
     }
 
+    /// Reports the limit that the server names, in requests a second, or that it names none.
+    pub(crate) fn report_limit(&self, server: &ServerId, limit: Option<f64>) {
+        self.handle.send(Command::ReportLimit(self.service.clone(), server.clone(), limit));
+    }
+
     /// Reports that the answer went on for a while or is complete.
     pub(crate) fn answer_went_on(&self) {
         self.handle.send(Command::AnswerWentOn(self.request));
@@ -322,6 +328,11 @@
             Command::ReportSlowness(service, server, slowness) => {
                 self.scheduler.report_slowness(now, &service, (&server, slowness));
             }
+            Command::ReportLimit(service, server, limit) => {
+                if self.scheduler.report_limit(now, &service, (&server, limit)) {
+                    log_limit(&service, &server, limit);
+                }
+            }
             Command::Finish(service, request, outcome) => {
                 self.has_changes = true;
                 self.scheduler.finish(now, &service, (request, outcome), &mut self.out);
@@ -385,6 +396,14 @@
     }
 }
 
+fn log_limit(service: &ServiceName, server: &ServerId, limit: Option<f64>) {
+    let limit = limit.map_or("none".into(), |limit| limit.to_string());
+    spdlog::info!(
+        "limit of a server changed",
+        kv: { service = service.as_str(), server = server.as_str(), limit }
+    );
+}
+
 fn log_part_notice(notice: &poison::Notice) {
     match notice {
         poison::Notice::Blocked { service, part, ends, answers } => spdlog::warn!(
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -424,6 +424,9 @@
         if let Some(slowness) = info.slowness {
             response.submission.report_slowness(&response.server, slowness);
         }
+        if !info.misdirected {
+            response.submission.report_limit(&response.server, info.limit);
+        }
         if info.not_run || info.misdirected {
             let StartedResponse { submission, server, sent, .. } = response;
             let why = if info.misdirected { "another server has the address" } else { "full" };
--- a/crates/relay/src/scheduler.rs
+++ b/crates/relay/src/scheduler.rs
@@ -124,6 +124,8 @@
     charges: HashMap<RequestId, Charge>,
     detector: Detector,
     open: HashMap<RequestId, OpenRequest>,
+    /// Limits that servers named in their last answer to this VM, in requests a second.
+    limits: BTreeMap<ServerId, f64>,
     /// Incarnation and sequence number of the last report of each other entry VM.
     last_reports: BTreeMap<VmName, (u64, u64)>,
     next_offer: Time,
@@ -144,6 +146,7 @@
             region: Region::new(vm.clone(), incarnation),
             detector: Detector::new(vm.clone()),
             open: HashMap::new(),
+            limits: BTreeMap::new(),
             vm,
             incarnation,
             seq: 0,
@@ -324,6 +327,21 @@
         self.region.record_slowness(now, service, (id, slowness));
     }
 
+    /// Records the limit that a server names, in requests a second, or that it names none. Returns
+    /// whether it differs from the last one.
+    pub fn report_limit(
+        &mut self,
+        _now: Time,
+        _service: &ServiceName,
+        (id, limit): (&ServerId, Option<f64>),
+    ) -> bool {
+        let previous = match limit {
+            Some(limit) => self.limits.insert(id.clone(), limit),
+            None => self.limits.remove(id),
+        };
+        previous != limit
+    }
+
     /// Removes a request whose caller disconnected before it was granted, and refunds its charge.
     pub fn withdraw(
         &mut self,
