Grant a server no more than the limit that it names

Cause: nothing read the limit. A home grants free slots, and slots say nothing of requests a second. Class: a signal of a server in need that the system forwards and does not act on.

Change: an entry VM tells the home of the service what each answer says of the limit, and the home's broker spaces its grants by a token bucket (two at once at most). Waits are predicted with the speed that the limits leave. What VMs know is reported to a new home. A home uses the share of a limit that the live VMs that follow it make up, so that two homes together stay within it. A limit ends with an answer that does not name it, 0.3 s after the last one that did, since answers overtake each other. Asserted as invariant server_limit.

--- a/crates/broker/src/broker.rs
+++ b/crates/broker/src/broker.rs
@@ -162,6 +162,18 @@
         self.pool.record_slowness(now, id, slowness);
     }
 
+    /// Records the limit that a server names in an answer, in requests a second, or that it names
+    /// none any more. The broker grants the server no more than that.
+    pub fn record_limit(&mut self, now: Time, id: &ServerId, limit: Option<f64>) {
+        self.pool.record_limit(now, id, limit);
+    }
+
+    /// Sets the share of the servers' limits that this broker uses, when other brokers may grant the
+    /// rest.
+    pub fn set_limit_share(&mut self, share: f64) {
+        self.pool.set_limit_share(share);
+    }
+
     /// Removes a server that is known to be gone.
     pub fn remove(&mut self, id: &ServerId) {
         self.pool.remove(id);
@@ -267,7 +279,7 @@
         let tier = offer.ticket.tier;
         let work = self.latency.total(&offer.ticket, false);
         let before = self.queue.work_before(tier, work) + self.pool.peer_work(tier);
-        let speed = self.pool.speed(now).max(1.0);
+        let speed = self.pool.speed(now, self.latency.mean_total()).max(1.0);
         Span::from_secs_f64((before + self.latency.mean_total() / 2.0) / speed)
     }
 
--- a/crates/broker/src/pool.rs
+++ b/crates/broker/src/pool.rs
@@ -24,10 +24,12 @@
 
 mod choose;
 mod peers;
+mod rate;
 mod server;
 
 use self::{
     peers::PeerReport,
+    rate::RateLimit,
     server::{LoadSums, PRIOR_S, STRAGGLER_RATIO, Server},
 };
 
@@ -122,6 +124,8 @@
     median: f64,
     /// Share of each server's window that this broker may use.
     window_share: f64,
+    /// Share of the limit that a server names that this broker may use.
+    limit_share: f64,
     max_prefixes: usize,
     windowed: bool,
     /// This VM, if other VMs grant the same servers.
@@ -147,6 +151,7 @@
             vms: BTreeMap::new(),
             median: 1.0,
             window_share: 1.0,
+            limit_share: 1.0,
             max_prefixes,
             windowed,
             vm,
@@ -166,6 +171,17 @@
         self.window_share = share;
     }
 
+    pub(crate) fn set_limit_share(&mut self, share: f64) {
+        self.limit_share = share;
+    }
+
+    /// Records the limit that a server names in an answer, or that it names none.
+    pub(crate) fn record_limit(&mut self, now: Time, id: &ServerId, named: Option<f64>) {
+        if let Some(server) = self.servers.get_mut(id) {
+            server.limit = RateLimit::update(server.limit, now, named);
+        }
+    }
+
     pub(crate) fn announce(&mut self, now: Time, info: Announcement) {
         let expires_at = now + info.ttl;
         if let Some(server) = self.servers.get_mut(&info.id) {
@@ -196,6 +212,7 @@
             unread,
             peer_load: LoadSums::default(),
             reported: None,
+            limit: None,
             free_since: None,
             released: 0,
             fixed_cost,
@@ -310,6 +327,7 @@
         self.expire_grants(now);
         for server in self.servers.values_mut() {
             server.overdue = 0.0;
+            server.limit = server.limit.filter(|limit| !limit.is_expired(now));
             server.free_since =
                 if server.free_slots() > 0 { server.free_since.or(Some(now)) } else { None };
             if server.running == 0 {
@@ -368,7 +386,7 @@
     pub(crate) fn slot_usage(&self, now: Time) -> SlotUsage {
         self.serving(now).fold(SlotUsage::default(), |sum, server| SlotUsage {
             slots: sum.slots + server.info.slots,
-            free: sum.free + server.free_slots(),
+            free: sum.free + server.grantable(now, self.limit_share),
             running: sum.running + server.running,
             reported: sum.reported + server.peer_load.running,
             ..sum
@@ -380,7 +398,8 @@
             return true;
         }
         let paused = server.is_straggler(self.median) && now < server.probe_at;
-        !paused && server.in_flight() < server.window(self.median, self.window_share)
+        let allowed = server.limit.is_none_or(|l| l.allowance(now, self.limit_share) > 0);
+        !paused && allowed && server.in_flight() < server.window(self.median, self.window_share)
     }
 
     /// Returns whether a server accepts a ticket: a straggler is probed with short ones only, so
@@ -461,6 +480,11 @@
         // took over may already exceed it.
         let fits = source == SlotSource::Cancelled || server.running < server.info.slots;
         Invariant::Window.check(!self.windowed || fits);
+        if let Some(limit) = &mut server.limit {
+            let allowed = limit.allowance(now, self.limit_share) > 0;
+            Invariant::ServerLimit.check(source == SlotSource::Cancelled || allowed);
+            limit.record_grant(now, self.limit_share);
+        }
         let work = latency.total(&ticket, server.prefixes.holds(ticket.prefix));
         if server.is_straggler(self.median) {
             server.probe_at = now + PROBE_INTERVAL;
--- a/crates/broker/src/pool/choose.rs
+++ b/crates/broker/src/pool/choose.rs
@@ -37,12 +37,13 @@
 impl Pool {
     /// Returns the number of free slots of all serving servers.
     pub(crate) fn free_slots(&self, now: Time) -> u32 {
-        self.serving(now).map(Server::free_slots).sum()
+        self.serving(now).map(|s| s.grantable(now, self.limit_share)).sum()
     }
 
-    /// Returns the number of slots of all serving servers, each divided by its slowness.
-    pub(crate) fn speed(&self, now: Time) -> f64 {
-        self.serving(now).map(|s| f64::from(s.info.slots) / s.effective_slowness(now)).sum()
+    /// Returns the seconds of work a second that all serving servers take, where a request of mean
+    /// length takes `mean_total` seconds.
+    pub(crate) fn speed(&self, now: Time, mean_total: f64) -> f64 {
+        self.serving(now).map(|s| s.speed(now, self.limit_share, mean_total)).sum()
     }
 
     /// Takes a snapshot of the servers, to choose among them for many tickets.
@@ -57,8 +58,9 @@
             if snapshot.fastest.is_none_or(|f| unloaded.slowness < f.slowness) {
                 snapshot.fastest = Some(unloaded);
             }
-            if server.free_slots() > 0 && self.may_grant(now, server, &contenders) {
-                snapshot.free_slots += server.free_slots();
+            let grantable = server.grantable(now, self.limit_share);
+            if grantable > 0 && self.may_grant(now, server, &contenders) {
+                snapshot.free_slots += grantable;
                 snapshot.free.push((server, state));
             }
         }
@@ -82,7 +84,8 @@
         let alternatives = !avoid.is_empty() && self.serving(now).any(|s| !tried(s));
         if alternatives && !self.serving(now).any(|s| !tried(s) && now >= s.suspended_until) {
             // All untried servers are suspended: one of them is better than none.
-            let suspended = self.serving(now).filter(|s| !tried(s) && s.free_slots() > 0);
+            let suspended =
+                self.serving(now).filter(|s| !tried(s) && s.grantable(now, self.limit_share) > 0);
             let costs = suspended.map(|s| (s, needs.cost(&s.state(now))));
             return costs.min_by(|(_, a), (_, b)| a.total_cmp(b)).map(|(s, _)| s.info.id.clone());
         }
--- /dev/null
+++ b/crates/broker/src/pool/rate.rs
@@ -0,0 +1,64 @@
+//! The rate of grants at a server that names a limit.
+
+use model::{Span, Time};
+
+/// Number of requests that may be granted at once after a pause.
+const BURST: u32 = 2;
+/// Minimum rate, in requests a second, so that a server that names a limit near 0 can name another
+/// one.
+const MIN_RATE: f64 = 0.5;
+/// Time after the last answer with a limit from which an answer without one ends it. Answers of
+/// different VMs may overtake each other.
+const OVERTAKE_TIME: Span = Span::from_millis(300);
+/// Time without an answer after which a limit is forgotten.
+const LIMIT_TTL: Span = Span::from_secs(15);
+
+/// A token bucket that keeps the grants of a server within the limit that it names.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct RateLimit {
+    /// Requests a second.
+    rate: f64,
+    named_at: Time,
+    /// Number of requests that could be granted at `counted_at`.
+    tokens: f64,
+    counted_at: Time,
+}
+
+impl RateLimit {
+    /// Returns the limit after a server has named `named`, in requests a second, or no limit.
+    pub(crate) fn update(current: Option<Self>, now: Time, named: Option<f64>) -> Option<Self> {
+        match (current, named) {
+            (Some(limit), Some(rate)) => Some(Self { rate, named_at: now, ..limit }),
+            (None, Some(rate)) => {
+                Some(Self { rate, named_at: now, tokens: f64::from(BURST), counted_at: now })
+            }
+            (current, None) => current.filter(|limit| now < limit.named_at + OVERTAKE_TIME),
+        }
+    }
+
+    pub(crate) fn is_expired(&self, now: Time) -> bool {
+        now >= self.named_at + LIMIT_TTL
+    }
+
+    /// Returns the rate of grants of a broker that may use `share` of the limit, in requests a
+    /// second.
+    pub(crate) fn rate(&self, share: f64) -> f64 {
+        (self.rate * share).max(MIN_RATE)
+    }
+
+    fn tokens(&self, now: Time, share: f64) -> f64 {
+        let earned = (now - self.counted_at).as_secs_f64() * self.rate(share);
+        (self.tokens + earned).min(f64::from(BURST))
+    }
+
+    /// Returns the number of requests that may be granted now.
+    pub(crate) fn allowance(&self, now: Time, share: f64) -> u32 {
+        let tokens = self.tokens(now, share);
+        (1..=BURST).rev().find(|n| f64::from(*n) <= tokens).unwrap_or(0)
+    }
+
+    pub(crate) fn record_grant(&mut self, now: Time, share: f64) {
+        self.tokens = (self.tokens(now, share) - 1.0).max(0.0);
+        self.counted_at = now;
+    }
+}
--- a/crates/broker/src/pool/server.rs
+++ b/crates/broker/src/pool/server.rs
@@ -5,6 +5,7 @@
 
 use model::{Announcement, Duty, Span, Time, ZoneName};
 
+use super::rate::RateLimit;
 use crate::{action::ServerLoad, forecast::ServerState, prefix::PrefixMap};
 
 /// Slowness, relative to the median of the servers, above which a server is a straggler and gets
@@ -49,6 +50,8 @@
     pub(crate) peer_load: LoadSums,
     /// Slowness that the server reported, if any.
     pub(crate) reported: Option<ReportedSlowness>,
+    /// Limit of requests a second that the server names, if any.
+    pub(crate) limit: Option<RateLimit>,
     /// The time since which it has a free slot.
     pub(crate) free_since: Option<Time>,
     /// Number of this VM's requests that ended on the server since the last load report to the
@@ -118,6 +121,20 @@
         slots.saturating_sub(self.in_flight())
     }
 
+    /// Returns the number of requests that may be granted now by a broker that may use `share` of the
+    /// server's limit: one for each free slot, and no more than the limit allows.
+    pub(crate) fn grantable(&self, now: Time, share: f64) -> u32 {
+        let allowance = self.limit.map_or(u32::MAX, |limit| limit.allowance(now, share));
+        self.free_slots().min(allowance)
+    }
+
+    /// Returns the seconds of work a second that the server takes, where a request of mean length
+    /// takes `mean_total` seconds.
+    pub(crate) fn speed(&self, now: Time, share: f64, mean_total: f64) -> f64 {
+        let speed = f64::from(self.info.slots) / self.effective_slowness(now);
+        self.limit.map_or(speed, |limit| speed.min(limit.rate(share) * mean_total))
+    }
+
     /// Returns whether the server is left out because it refused a connection a short time ago.
     pub(crate) fn in_backoff(&self, now: Time) -> bool {
         self.backoff.is_some_and(|backoff| now < backoff.until)
--- a/crates/model/src/invariant.rs
+++ b/crates/model/src/invariant.rs
@@ -49,6 +49,8 @@
     RevisionOrder = "revision_order",
     /// Each fencing number is larger than the one before.
     FenceOrder = "fence_order",
+    /// A broker grants a backend server no more requests than the limit that the server names.
+    ServerLimit = "server_limit",
     /// The VM that enforces an account's limits never admits more concurrent requests than allowed.
     Limit = "limit",
 );
--- a/crates/region/src/message.rs
+++ b/crates/region/src/message.rs
@@ -33,6 +33,15 @@
         /// Duration of work on the server, relative to a server of ordinary speed.
         slowness: f64,
     },
+    /// Sent by a client VM: a server named a limit in an answer, or none any more.
+    Limit {
+        /// Service of the server.
+        service: ServiceName,
+        /// Server that answered.
+        server: ServerId,
+        /// Requests a second that the server takes from all VMs together, if it says so.
+        limit: Option<f64>,
+    },
     /// Sent by the client VM: a granted request has ended.
     Finish {
         /// Service that the request is for.
--- a/crates/region/src/region/requests.rs
+++ b/crates/region/src/region/requests.rs
@@ -14,7 +14,7 @@
     message::{Frame, Message, Session},
 };
 
-use super::{GrantDecision, Notice, Region, WARM_UP};
+use super::{GrantDecision, LIMIT_TTL, Notice, Region, WARM_UP};
 
 /// A home from which nothing has arrived for this long is replaced by another one. Covers several
 /// keepalives. If its home fails, a request waits this long plus the time of a message.
@@ -81,7 +81,10 @@
         let session = self.next_session();
         self.home_channels.insert(home.clone(), Channel::new(now, session));
         let at_home = |open: &&OpenRequest| open.home == *home;
-        for message in open_messages(now, self.requests.values().filter(at_home)) {
+        let selector = &self.selector;
+        let limits = self.limit_messages(now, |service| selector.home(service) == home);
+        let open = open_messages(now, self.requests.values().filter(at_home));
+        for message in limits.into_iter().chain(open) {
             self.send_to_home(now, home, message);
         }
     }
@@ -166,6 +169,10 @@
                 let home = self.selector.home(&service).clone();
                 self.move_requests(now, &service, &before, &home);
             }
+            let share = self.selector.followers(now, &service);
+            if let Some(broker) = self.brokers.get_mut(&service) {
+                broker.set_limit_share(share);
+            }
         }
         let homes: BTreeSet<VmName> = self.selector.homes().map(|(_, vm)| vm.clone()).collect();
         self.home_channels.retain(|vm, channel| homes.contains(vm) || !channel.is_acked());
@@ -178,6 +185,17 @@
         }
     }
 
+    /// Returns the messages that report to a home the limits that servers of some services named.
+    fn limit_messages(&self, now: Time, of: impl Fn(&ServiceName) -> bool) -> Vec<Message> {
+        let limits = self.limits.iter().filter(|((service, _), _)| of(service));
+        let limits = limits.filter(|(_, (_, named_at))| now < *named_at + LIMIT_TTL);
+        let message = |((service, server), (limit, _)): (&(_, ServerId), &(f64, Time))| {
+            let (service, server) = (ServiceName::clone(service), server.clone());
+            Message::Limit { service, server, limit: Some(*limit) }
+        };
+        limits.map(message).collect()
+    }
+
     /// Moves the open requests of a service from one home to another.
     pub(super) fn move_requests(
         &mut self,
@@ -202,7 +220,8 @@
         if self.home_channels.contains_key(before) || *before == self.me {
             self.deliver(now, before, Message::Leave { service: service.clone() });
         }
-        for message in messages {
+        let limits = self.limit_messages(now, |of| of == service);
+        for message in limits.into_iter().chain(messages) {
             self.deliver(now, home, message);
         }
         self.changed = true;
--- a/crates/region/src/selection.rs
+++ b/crates/region/src/selection.rs
@@ -85,6 +85,18 @@
         live.any(|p| p.homes.get(service).is_some_and(|h| h != home))
     }
 
+    /// Returns the share of the live VMs, this one included, that have selected this VM as the home of
+    /// a service. It is above 0, as this VM may serve its own requests.
+    pub(crate) fn followers(&self, now: Time, service: &ServiceName) -> f64 {
+        let live = self.peers.values().filter(|p| now < p.received_at + PEER_TIMEOUT);
+        let (mut all, mut mine) = (1_u32, 1_u32);
+        for peer in live {
+            all += 1;
+            mine += u32::from(peer.homes.get(service).is_none_or(|home| *home == self.me));
+        }
+        f64::from(mine) / f64::from(all)
+    }
+
     /// Selects the home of a service. Returns the previous home if it changes.
     pub(crate) fn select(&mut self, now: Time, service: &ServiceName) -> Option<VmName> {
         self.excluded.retain(|_, until| now < *until);
--- a/crates/region/tests/region/main.rs
+++ b/crates/region/tests/region/main.rs
@@ -208,3 +208,51 @@
     assert_eq!(sim.running_at(0), SLOTS);
     assert_eq!(sim.running(), SLOTS);
 }
+
+/// Limit that servers name, in requests a second, the window in which requests are counted, and the
+/// number that may be exceeded in no window: one and a half times what the limit allows, and 5.
+const LIMIT: f64 = 5.0;
+const LIMIT_WINDOW: Span = Span::from_secs(4);
+const MAX_ARRIVALS: usize = 35;
+/// Eight tenths of what the limits of all servers allow in 6 s.
+const LEAST_GRANTED: usize = 288;
+
+#[test]
+fn a_limited_server_gets_no_more_than_its_limit_while_its_home_changes_or_is_disputed() {
+    type Trouble = fn(&mut Sim, usize);
+    let troubles: [(&str, Trouble); 5] = [
+        ("none", |_, _| {}),
+        ("planned stop", |sim, home| sim.announce_stop(home)),
+        ("crash", |sim, home| sim.crash(home)),
+        ("restart", |sim, home| {
+            sim.crash(home);
+            sim.restart(home);
+        }),
+        ("two VMs do not hear of the home", |sim, home| {
+            sim.announce_stop(home);
+            granted_under_overload(sim, &[0, 1, 2, 3, 4, 5], HANDOVER_TIME);
+            let next = sim.home((home + 1) % 6);
+            let others: Vec<usize> = (0..6).filter(|n| ![home, next].contains(n)).collect();
+            sim.block_gossip(next, others[0]);
+            sim.block_gossip(next, others[1]);
+        }),
+    ];
+    for (name, trouble) in troubles {
+        let mut sim = Sim::start(6, 12);
+        sim.advance(HOME_AGREED);
+        let vms: Vec<usize> = (0..6).collect();
+        sim.limit = Some(LIMIT);
+        granted_under_overload(&mut sim, &vms, Span::from_secs(2));
+        let (from, home) = (sim.now, sim.home(0));
+        trouble(&mut sim, home);
+        let live: Vec<usize> = vms.iter().copied().filter(|n| sim.is_alive(*n)).collect();
+        let granted = granted_under_overload(&mut sim, &live, Span::from_secs(6));
+        let most = sim.most_arrivals(from, LIMIT_WINDOW);
+        assert!(most <= MAX_ARRIVALS, "{name}: {most} in 4 s");
+        assert!(granted >= LEAST_GRANTED, "{name}: {granted} granted, the limit is not used");
+        sim.limit = None;
+        granted_under_overload(&mut sim, &live, Span::from_secs(2));
+        let granted = granted_under_overload(&mut sim, &live, Span::from_secs(1));
+        assert!(granted > SERVERS * 20, "{name}: {granted} in a second after the limit ended");
+    }
+}
--- a/crates/region/tests/region/sim.rs
+++ b/crates/region/tests/region/sim.rs
@@ -64,6 +64,10 @@
     at_servers: BTreeMap<RequestId, (usize, Time)>,
     /// Time and tier of each grant.
     granted: Vec<(Time, u8)>,
+    /// Time and server of each grant.
+    arrivals: Vec<(Time, usize)>,
+    /// Limit that all servers name in their answers, in requests a second.
+    pub(crate) limit: Option<f64>,
     /// Largest number of requests beyond the servers' slots, over all servers, seen so far.
     pub(crate) most_excess: usize,
     incarnations: u64,
@@ -121,6 +125,8 @@
             requests: BTreeMap::new(),
             at_servers: BTreeMap::new(),
             granted: Vec::new(),
+            arrivals: Vec::new(),
+            limit: None,
             most_excess: 0,
             incarnations: 0,
             submitted: 0,
@@ -205,7 +211,9 @@
             if !self.is_active(vm) {
                 continue;
             }
-            self.at_servers.remove(&request);
+            let Some((server, _)) = self.at_servers.remove(&request) else { continue };
+            let limit = (&server_id(server), self.limit);
+            self.vms[vm].region.record_limit(self.now, &service(), limit);
             let outcome = Outcome::Done { first: SERVICE_TIME, total: SERVICE_TIME, tokens: 1 };
             self.vms[vm].region.finish(self.now, &service(), (request, outcome));
             self.collect_output(vm);
@@ -235,6 +243,7 @@
                     let open = self.decide(n, request);
                     let tier = open.tier;
                     self.granted.push((self.now, tier));
+                    self.arrivals.push((self.now, index(server.as_str())));
                     let place = (index(server.as_str()), self.now + SERVICE_TIME);
                     self.at_servers.insert(request, place);
                     self.most_excess = self.most_excess.max(self.excess());
@@ -266,6 +275,16 @@
         }
     }
 
+    /// Returns the largest number of requests that a server got in `window` from `from` on.
+    pub(crate) fn most_arrivals(&self, from: Time, window: Span) -> usize {
+        let late = |server| self.arrivals.iter().filter(move |(at, s)| *at >= from && *s == server);
+        let within = |server, start: Time| {
+            late(server).filter(|(at, _)| *at >= start && *at < start + window).count()
+        };
+        let most = |server| late(server).map(|(at, _)| within(server, *at)).max().unwrap_or(0);
+        (0..SERVERS).map(most).max().unwrap_or(0)
+    }
+
     pub(crate) fn submit(&mut self, vm: usize, tier: u8) {
         if !self.is_active(vm) {
             return;
--- a/crates/relay/src/scheduler.rs
+++ b/crates/relay/src/scheduler.rs
@@ -331,10 +331,11 @@
     /// whether it differs from the last one.
     pub fn report_limit(
         &mut self,
-        _now: Time,
-        _service: &ServiceName,
+        now: Time,
+        service: &ServiceName,
         (id, limit): (&ServerId, Option<f64>),
     ) -> bool {
+        self.region.record_limit(now, service, (id, limit));
         let previous = match limit {
             Some(limit) => self.limits.insert(id.clone(), limit),
             None => self.limits.remove(id),
