Count answers that end with their connection if their server ended

A server that ends after a whole event of an answer with neither length nor chunks looks like one that has finished. Such answers were taken neither for a proof nor for an end, so a part that ends servers this way was never found. They now count as an end if the same VM sees another sign of it: another answer of that server breaks off within 0.3 s, or the server refuses a connection within 1 s. By itself such an end still counts for nothing, as all answers of a route may have this form.

--- a/crates/poison/src/detector.rs
+++ b/crates/poison/src/detector.rs
@@ -40,6 +40,12 @@
 const MAX_RECORDS: usize = 512;
 /// Maximum number of suspects in a message.
 const MAX_SUSPECTS: usize = 12;
+/// Time between two signs of the end of one server at one VM.
+const SAME_MOMENT: Span = Span::from_millis(300);
+/// Time after the end of an answer in which a refused connection shows that its server has ended.
+const REFUSED_TIME: Span = Span::from_secs(1);
+/// Maximum number of answers of a service that are remembered as possibly broken off.
+const MAX_DOUBTFUL: usize = 64;
 /// Number of failed requests of a service that are remembered.
 const MAX_FAILED: usize = 128;
 
@@ -96,6 +102,17 @@
     answers: u64,
     /// Requests that failed as their server ended.
     failed: VecDeque<(ServerId, Time)>,
+    /// Answers that ended with their connection, complete or not.
+    doubtful: VecDeque<DoubtfulEnd>,
+}
+
+/// An answer whose end may be that of its server.
+#[derive(Clone, Debug)]
+struct DoubtfulEnd {
+    server: ServerId,
+    at: Time,
+    parts: Vec<Part>,
+    is_trial: bool,
 }
 
 /// Decides whether requests may be sent, by the parts that they have in common with requests that
@@ -221,12 +238,23 @@
         parts: &[Part],
         (server, is_trial): (&ServerId, bool),
     ) {
+        self.confirm(now, service, (server, SAME_MOMENT));
         let of_service = self.service(service);
-        let answers = of_service.answers;
         if of_service.failed.len() == MAX_FAILED {
             of_service.failed.pop_front();
         }
         of_service.failed.push_back((server.clone(), now));
+        self.add_ends(now, service, parts, (server, is_trial));
+    }
+
+    fn add_ends(
+        &mut self,
+        now: Time,
+        service: &ServiceName,
+        parts: &[Part],
+        (server, is_trial): (&ServerId, bool),
+    ) {
+        let answers = self.service(service).answers;
         for part in parts {
             let Some(record) = self.record(now, service, *part, answers) else { continue };
             let is_trial = is_trial && record.blocked.is_some();
@@ -234,6 +262,45 @@
         }
     }
 
+    /// Records that an answer ended with its connection before it had gone on for a while. It may be
+    /// complete: it counts as the end of its server if another sign of that end is seen.
+    pub fn record_doubtful_end(
+        &mut self,
+        now: Time,
+        service: &ServiceName,
+        parts: &[Part],
+        (server, is_trial): (&ServerId, bool),
+    ) {
+        let of_service = self.service(service);
+        let seen = of_service.failed.iter().any(|(id, at)| id == server && now < *at + SAME_MOMENT);
+        if seen {
+            self.add_ends(now, service, parts, (server, is_trial));
+            return;
+        }
+        if of_service.doubtful.len() == MAX_DOUBTFUL {
+            of_service.doubtful.pop_front();
+        }
+        let (server, parts) = (server.clone(), parts.to_vec());
+        of_service.doubtful.push_back(DoubtfulEnd { server, at: now, parts, is_trial });
+    }
+
+    /// Records that a server refused a connection.
+    pub fn record_refused(&mut self, now: Time, service: &ServiceName, server: &ServerId) {
+        self.confirm(now, service, (server, REFUSED_TIME));
+    }
+
+    /// Counts the answers that ended with their connection to a server within `time`.
+    fn confirm(&mut self, now: Time, service: &ServiceName, (server, time): (&ServerId, Span)) {
+        let of_service = self.service(service);
+        let is_end = |end: &DoubtfulEnd| end.server == *server && now < end.at + time;
+        let (ends, others): (VecDeque<_>, VecDeque<_>) =
+            of_service.doubtful.drain(..).partition(is_end);
+        of_service.doubtful = others;
+        for DoubtfulEnd { server, at, parts, is_trial } in ends {
+            self.add_ends(at, service, &parts, (&server, is_trial));
+        }
+    }
+
     /// Merges what another VM knows.
     pub fn merge(&mut self, now: Time, suspects: &[Suspect]) {
         for suspect in suspects {
--- a/crates/poison/tests/detector.rs
+++ b/crates/poison/tests/detector.rs
@@ -141,6 +141,49 @@
     }
 }
 
+#[test]
+fn an_answer_that_ends_with_its_connection_counts_if_its_server_ended() {
+    // What else is seen of each server: nothing, a refused connection, or another request that
+    // failed just before or after.
+    #[derive(Clone, Copy, Debug)]
+    enum Sign {
+        Nothing,
+        Refused(u64),
+        Before(u64),
+        After(u64),
+    }
+    let cases = [
+        (Sign::Nothing, false),
+        (Sign::Refused(200), true),
+        (Sign::Refused(1_500), false),
+        (Sign::Before(5), true),
+        (Sign::Before(900), false),
+        (Sign::After(5), true),
+        (Sign::After(900), false),
+    ];
+    for (sign, blocked) in cases {
+        let mut detector = detectors(1).remove(0);
+        for n in 0..3 {
+            let (ms, id) = (1_000 + u64::from(n) * 100, server(n));
+            if let Sign::Before(time) = sign {
+                apply(&mut detector, ms - time, End(OTHER, n));
+            }
+            detector.record_doubtful_end(at(ms), &service(), &parts(BAD), (&id, false));
+        }
+        for n in 0..3 {
+            let (ms, id) = (1_000 + u64::from(n) * 100, server(n));
+            match sign {
+                Sign::Refused(time) => detector.record_refused(at(ms + time), &service(), &id),
+                Sign::After(time) => apply(&mut detector, ms + time, End(OTHER, n)),
+                Sign::Nothing | Sign::Before(_) => {}
+            }
+        }
+        (0..20).for_each(|_| apply(&mut detector, 1_400, Answer(SOUND)));
+        (0..20).for_each(|_| apply(&mut detector, 1_400, Answer(OTHER)));
+        assert_eq!(is_refused(&mut detector, 2_700, &["bad"]), blocked, "{sign:?}");
+    }
+}
+
 #[test]
 fn a_popular_part_stays_free_while_servers_of_a_zone_end_at_once() {
     let mut detector = detectors(1).remove(0);
--- a/crates/relay/src/event_loop.rs
+++ b/crates/relay/src/event_loop.rs
@@ -46,6 +46,7 @@
     Withdraw(ServiceName, RequestId),
     AnswerWentOn(RequestId),
     ServerEnded(RequestId, ServerId),
+    AnswerEndedEarly(RequestId, ServerId),
     Plan(Arc<Plan>),
     Fleet(Fleet),
     Receive(Box<Datagram>),
@@ -170,6 +171,11 @@
         self.handle.send(Command::ServerEnded(self.request, server.clone()));
     }
 
+    /// Reports that the answer ended with its connection before it had gone on for a while.
+    pub(crate) fn answer_ended_early(&self, server: &ServerId) {
+        self.handle.send(Command::AnswerEndedEarly(self.request, server.clone()));
+    }
+
     /// Reports the outcome of the exchange with the server.
     pub(crate) fn finish(mut self, outcome: Outcome) {
         self.state = State::Ended;
@@ -345,6 +351,9 @@
             Command::ServerEnded(request, server) => {
                 self.scheduler.server_ended(now, request, &server);
             }
+            Command::AnswerEndedEarly(request, server) => {
+                self.scheduler.answer_ended_early(now, request, &server);
+            }
             Command::Plan(plan) => self.scheduler.set_plan(now, plan, &mut self.out),
             Command::Fleet(fleet) => {
                 self.other_vms =
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -551,7 +551,9 @@
                 return Err(may_have_run(RefusalReason::Timeout));
             }
         };
-        if !exchange.ends_with_connection() {
+        if exchange.ends_with_connection() {
+            submission.answer_ended_early(&server);
+        } else {
             submission.answer_went_on();
         }
         let total = Span::from(sent.elapsed());
--- a/crates/relay/src/scheduler.rs
+++ b/crates/relay/src/scheduler.rs
@@ -254,8 +254,12 @@
         (request, outcome): (RequestId, Outcome),
         out: &mut Vec<Decision>,
     ) {
-        if matches!(outcome, Outcome::Done { .. }) {
-            self.record_alive(now, request);
+        match (&outcome, self.open.get(&request).and_then(|open| open.server.as_ref())) {
+            (Outcome::NotSent, Some(server)) => self.detector.record_refused(now, service, server),
+            (Outcome::Done { .. }, Some(server)) => {
+                self.detector.record_alive(now, service, server);
+            }
+            _ => {}
         }
         self.open.remove(&request);
         self.region.finish(now, service, (request, outcome));
@@ -283,6 +287,14 @@
         }
     }
 
+    /// Records that the answer to a granted request ended with its connection before it had gone on
+    /// for a while, so that it may be broken off.
+    pub fn answer_ended_early(&mut self, now: Time, request: RequestId, server: &ServerId) {
+        if let Some(OpenRequest { service, parts, is_trial, .. }) = self.open.get(&request) {
+            self.detector.record_doubtful_end(now, service, parts, (server, *is_trial));
+        }
+    }
+
     /// Merges what another entry VM knows of parts under which servers ended.
     pub fn receive_suspects(&mut self, now: Time, suspects: &[Suspect]) {
         self.detector.merge(now, suspects);
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -146,7 +146,9 @@
     }
 
     fn finish(mut self) -> ServerId {
-        if !self.went_on && !self.response.exchange.ends_with_connection() {
+        if !self.went_on && self.response.exchange.ends_with_connection() {
+            self.response.submission.answer_ended_early(&self.response.server);
+        } else if !self.went_on {
             self.record_proof();
         }
         let total = Span::from(self.response.sent.elapsed());
