Let a limited server be granted one second of its limit at once

A limit is named in requests a second, and a bucket of two requests wastes what a server takes in lulls of some hundred milliseconds.

--- a/crates/broker/src/pool/rate.rs
+++ b/crates/broker/src/pool/rate.rs
@@ -2,8 +2,9 @@
 
 use model::{Span, Time};
 
-/// Number of requests that may be granted at once after a pause.
-const BURST: u32 = 2;
+/// Minimum number of requests that may be granted at once after a pause. It is what the limit
+/// allows in a second if that is more.
+const MIN_BURST: f64 = 2.0;
 /// Minimum rate, in requests a second, so that a server that names a limit near 0 can name another
 /// one.
 const MIN_RATE: f64 = 0.5;
@@ -30,7 +31,7 @@
         match (current, named) {
             (Some(limit), Some(rate)) => Some(Self { rate, named_at: now, ..limit }),
             (None, Some(rate)) => {
-                Some(Self { rate, named_at: now, tokens: f64::from(BURST), counted_at: now })
+                Some(Self { rate, named_at: now, tokens: MIN_BURST, counted_at: now })
             }
             (current, None) => current.filter(|limit| now < limit.named_at + OVERTAKE_TIME),
         }
@@ -47,14 +48,15 @@
     }
 
     fn tokens(&self, now: Time, share: f64) -> f64 {
-        let earned = (now - self.counted_at).as_secs_f64() * self.rate(share);
-        (self.tokens + earned).min(f64::from(BURST))
+        let rate = self.rate(share);
+        let earned = (now - self.counted_at).as_secs_f64() * rate;
+        (self.tokens + earned).min(rate.max(MIN_BURST))
     }
 
     /// Returns the number of requests that may be granted now.
+    #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "`as` saturates")]
     pub(crate) fn allowance(&self, now: Time, share: f64) -> u32 {
-        let tokens = self.tokens(now, share);
-        (1..=BURST).rev().find(|n| f64::from(*n) <= tokens).unwrap_or(0)
+        self.tokens(now, share) as u32
     }
 
     pub(crate) fn record_grant(&mut self, now: Time, share: f64) {
