Report limits outside of the sessions with homes

A VM of an older build cannot decode a frame with an unknown message and drops it. As frames are retransmitted until they are acknowledged, one report of a limit would have blocked the session of a newer client VM with an older home for good. Limits are now reported in datagrams of their own, with the age of the answer, and again every half second for 10 s after the last answer that named one, so that a new home learns them and a lost report does not matter. A home orders them by the time of the answer, so that a late report of a limit that has ended does not bring it back.

region tests: changes of home, a dispute, lost messages, both sides of a partition and the time after it, and limits that change or end.

--- a/crates/broker/src/broker.rs
+++ b/crates/broker/src/broker.rs
@@ -162,10 +162,10 @@
         self.pool.record_slowness(now, id, slowness);
     }
 
-    /// Records the limit that a server names in an answer, in requests a second, or that it names
-    /// none any more. The broker grants the server no more than that.
-    pub fn record_limit(&mut self, now: Time, id: &ServerId, limit: Option<f64>) {
-        self.pool.record_limit(now, id, limit);
+    /// Records the limit that a server named in an answer, in requests a second, or that it named
+    /// none, with the time of the answer. The broker grants the server no more than that.
+    pub fn record_limit(&mut self, now: Time, id: &ServerId, answer: (Option<f64>, Time)) {
+        self.pool.record_limit(now, id, answer);
     }
 
     /// Sets the share of the servers' limits that this broker uses, when other brokers may grant the
--- a/crates/broker/src/pool.rs
+++ b/crates/broker/src/pool.rs
@@ -175,10 +175,26 @@
         self.limit_share = share;
     }
 
-    /// Records the limit that a server names in an answer, or that it names none.
-    pub(crate) fn record_limit(&mut self, now: Time, id: &ServerId, named: Option<f64>) {
-        if let Some(server) = self.servers.get_mut(id) {
-            server.limit = RateLimit::update(server.limit, now, named);
+    /// Records the limit that a server named in an answer, or that it named none.
+    pub(crate) fn record_limit(
+        &mut self,
+        now: Time,
+        id: &ServerId,
+        (named, answered_at): (Option<f64>, Time),
+    ) {
+        let Some(server) = self.servers.get_mut(id) else {
+            return;
+        };
+        match (named, &mut server.limit) {
+            (Some(rate), Some(limit)) => limit.rename(rate, answered_at),
+            (Some(rate), None) if answered_at > server.limit_ended_at => {
+                server.limit = Some(RateLimit::new(rate, answered_at, now));
+            }
+            (None, Some(limit)) if limit.is_ended_by(answered_at) => {
+                server.limit = None;
+                server.limit_ended_at = answered_at;
+            }
+            _ => {}
         }
     }
 
@@ -213,6 +229,7 @@
             peer_load: LoadSums::default(),
             reported: None,
             limit: None,
+            limit_ended_at: Time::default(),
             free_since: None,
             released: 0,
             fixed_cost,
--- a/crates/broker/src/pool/rate.rs
+++ b/crates/broker/src/pool/rate.rs
@@ -26,17 +26,22 @@
 }
 
 impl RateLimit {
-    /// Returns the limit after a server has named `named`, in requests a second, or no limit.
-    pub(crate) fn update(current: Option<Self>, now: Time, named: Option<f64>) -> Option<Self> {
-        match (current, named) {
-            (Some(limit), Some(rate)) => Some(Self { rate, named_at: now, ..limit }),
-            (None, Some(rate)) => {
-                Some(Self { rate, named_at: now, tokens: MIN_BURST, counted_at: now })
-            }
-            (current, None) => current.filter(|limit| now < limit.named_at + OVERTAKE_TIME),
+    pub(crate) fn new(rate: f64, named_at: Time, now: Time) -> Self {
+        Self { rate, named_at, tokens: MIN_BURST, counted_at: now }
+    }
+
+    /// Changes the rate to that of an answer, unless a later one has named a rate.
+    pub(crate) fn rename(&mut self, rate: f64, named_at: Time) {
+        if named_at >= self.named_at {
+            (self.rate, self.named_at) = (rate, named_at);
         }
     }
 
+    /// Returns whether an answer at that time without a limit ends this one.
+    pub(crate) fn is_ended_by(&self, answered_at: Time) -> bool {
+        answered_at >= self.named_at + OVERTAKE_TIME
+    }
+
     pub(crate) fn is_expired(&self, now: Time) -> bool {
         now >= self.named_at + LIMIT_TTL
     }
--- a/crates/broker/src/pool/server.rs
+++ b/crates/broker/src/pool/server.rs
@@ -52,6 +52,8 @@
     pub(crate) reported: Option<ReportedSlowness>,
     /// Limit of requests a second that the server names, if any.
     pub(crate) limit: Option<RateLimit>,
+    /// Time of the answer that ended the last limit.
+    pub(crate) limit_ended_at: Time,
     /// The time since which it has a free slot.
     pub(crate) free_since: Option<Time>,
     /// Number of this VM's requests that ended on the server since the last load report to the
--- a/crates/region/src/lib.rs
+++ b/crates/region/src/lib.rs
@@ -18,6 +18,6 @@
 mod selection;
 
 pub use crate::{
-    message::{Frame, Message, Session},
+    message::{Frame, LimitReport, Message, Session},
     region::{Gossip, GrantDecision, Notice, Region, ServiceUsage},
 };
--- a/crates/region/src/message.rs
+++ b/crates/region/src/message.rs
@@ -33,15 +33,6 @@
         /// Duration of work on the server, relative to a server of ordinary speed.
         slowness: f64,
     },
-    /// Sent by a client VM: a server named a limit in an answer, or none any more.
-    Limit {
-        /// Service of the server.
-        service: ServiceName,
-        /// Server that answered.
-        server: ServerId,
-        /// Requests a second that the server takes from all VMs together, if it says so.
-        limit: Option<f64>,
-    },
     /// Sent by the client VM: a granted request has ended.
     Finish {
         /// Service that the request is for.
@@ -101,6 +92,21 @@
     }
 }
 
+/// What a server said of its limit in an answer, reported by a VM to the home of the service.
+///
+/// Reports are sent outside of sessions. A lost one is superseded by the report of a later answer.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct LimitReport {
+    /// Service of the server.
+    pub service: ServiceName,
+    /// Server that answered.
+    pub server: ServerId,
+    /// Requests a second that the server takes from all VMs together, if it says so.
+    pub limit: Option<f64>,
+    /// Time since the answer.
+    pub age: Span,
+}
+
 /// Identifies a session between a client VM and a home.
 ///
 /// The client VM opens sessions. In a new session it reports all its open requests to the home
--- a/crates/region/src/region.rs
+++ b/crates/region/src/region.rs
@@ -16,12 +16,13 @@
 use serde::{Deserialize, Serialize};
 
 mod home;
+mod limits;
 mod requests;
 
-use self::requests::OpenRequest;
+use self::{limits::KnownLimits, requests::OpenRequest};
 use crate::{
     channel::{Channel, Segment},
-    message::{Frame, Message},
+    message::{Frame, LimitReport, Message},
     selection::HomeSelector,
 };
 
@@ -32,9 +33,6 @@
 const WARM_UP: Span = Span::from_millis(60);
 /// Interval at which homes are selected; matches the interval at which VMs gossip their selections.
 const SELECT_INTERVAL: Span = Span::from_millis(50);
-/// Time for which the limit that a server named to this VM is reported to a new home, and for which
-/// answers without a limit are reported.
-const LIMIT_TTL: Span = Span::from_secs(10);
 
 /// The decision about a request that was submitted at this VM.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -145,10 +143,12 @@
     last_tick: Time,
     /// Requests of this VM that wait or run.
     requests: HashMap<RequestId, OpenRequest>,
-    /// Limits that servers named in answers to this VM, with the time of the last one.
-    limits: BTreeMap<(ServiceName, ServerId), (f64, Time)>,
-    /// When a server of each service last named a limit to this VM.
-    limited: BTreeMap<ServiceName, Time>,
+    /// Limits that servers named in answers to this VM.
+    limits: KnownLimits,
+    /// When the known limits are reported again.
+    limits_at: Time,
+    /// Reports of limits to be sent.
+    limit_reports: BTreeMap<VmName, Vec<LimitReport>>,
     /// Channels to the homes of this VM's requests.
     home_channels: BTreeMap<VmName, Channel>,
     /// Channels to the client VMs of this VM.
@@ -186,8 +186,9 @@
             select_at: Time::default(),
             last_tick: Time::default(),
             requests: HashMap::new(),
-            limits: BTreeMap::new(),
-            limited: BTreeMap::new(),
+            limits: KnownLimits::default(),
+            limits_at: Time::default(),
+            limit_reports: BTreeMap::new(),
             home_channels: BTreeMap::new(),
             client_channels: BTreeMap::new(),
             grace: Span::ZERO,
@@ -296,32 +297,6 @@
         self.deliver(now, &home, Message::Speed { service, server, slowness });
     }
 
-    /// Reports the limit that a server names in an answer, in requests a second, or that it names
-    /// none any more, to the home of its service.
-    pub fn record_limit(
-        &mut self,
-        now: Time,
-        service: &ServiceName,
-        (id, limit): (&ServerId, Option<f64>),
-    ) {
-        let key = (service.clone(), id.clone());
-        match limit {
-            Some(limit) => self.limits.insert(key, (limit, now)),
-            None => self.limits.remove(&key),
-        };
-        // Until no server of the service has named a limit for a while, each answer tells the home,
-        // which may know a limit from another VM.
-        if limit.is_some() {
-            self.limits.retain(|_, (_, named_at)| now < *named_at + LIMIT_TTL);
-            self.limited.insert(service.clone(), now);
-        }
-        if self.limited.get(service).is_some_and(|named| now < *named + LIMIT_TTL) {
-            let home = self.selector.home(service).clone();
-            let (service, server) = (service.clone(), id.clone());
-            self.deliver(now, &home, Message::Limit { service, server, limit });
-        }
-    }
-
     /// Records how a granted request ended.
     pub fn finish(
         &mut self,
@@ -357,6 +332,7 @@
             self.select_at = now + SELECT_INTERVAL;
             self.select_homes(now);
         }
+        self.report_known_limits(now);
         self.drop_silent_clients(now);
         for broker in self.brokers.values_mut() {
             broker.tick(now, &mut self.actions);
--- a/crates/region/src/region/home.rs
+++ b/crates/region/src/region/home.rs
@@ -52,11 +52,6 @@
                     broker.record_slowness(now, &server, slowness);
                 }
             }
-            Message::Limit { service, server, limit } => {
-                if let Some(broker) = self.brokers.get_mut(&service) {
-                    broker.record_limit(now, &server, limit);
-                }
-            }
             Message::Finish { service, request, outcome } => {
                 if let Some(broker) = self.brokers.get_mut(&service) {
                     broker.finish(now, request, outcome, actions);
--- a/crates/region/src/region/requests.rs
+++ b/crates/region/src/region/requests.rs
@@ -14,7 +14,7 @@
     message::{Frame, Message, Session},
 };
 
-use super::{GrantDecision, LIMIT_TTL, Notice, Region, WARM_UP};
+use super::{GrantDecision, Notice, Region, WARM_UP};
 
 /// A home from which nothing has arrived for this long is replaced by another one. Covers several
 /// keepalives. If its home fails, a request waits this long plus the time of a message.
@@ -81,10 +81,7 @@
         let session = self.next_session();
         self.home_channels.insert(home.clone(), Channel::new(now, session));
         let at_home = |open: &&OpenRequest| open.home == *home;
-        let selector = &self.selector;
-        let limits = self.limit_messages(now, |service| selector.home(service) == home);
-        let open = open_messages(now, self.requests.values().filter(at_home));
-        for message in limits.into_iter().chain(open) {
+        for message in open_messages(now, self.requests.values().filter(at_home)) {
             self.send_to_home(now, home, message);
         }
     }
@@ -185,17 +182,6 @@
         }
     }
 
-    /// Returns the messages that report to a home the limits that servers of some services named.
-    fn limit_messages(&self, now: Time, of: impl Fn(&ServiceName) -> bool) -> Vec<Message> {
-        let limits = self.limits.iter().filter(|((service, _), _)| of(service));
-        let limits = limits.filter(|(_, (_, named_at))| now < *named_at + LIMIT_TTL);
-        let message = |((service, server), (limit, _)): (&(_, ServerId), &(f64, Time))| {
-            let (service, server) = (ServiceName::clone(service), server.clone());
-            Message::Limit { service, server, limit: Some(*limit) }
-        };
-        limits.map(message).collect()
-    }
-
     /// Moves the open requests of a service from one home to another.
     pub(super) fn move_requests(
         &mut self,
@@ -220,10 +206,10 @@
         if self.home_channels.contains_key(before) || *before == self.me {
             self.deliver(now, before, Message::Leave { service: service.clone() });
         }
-        let limits = self.limit_messages(now, |of| of == service);
-        for message in limits.into_iter().chain(messages) {
+        for message in messages {
             self.deliver(now, home, message);
         }
+        self.limits_at = now;
         self.changed = true;
         let (service, before, home) = (service.clone(), before.clone(), home.clone());
         self.notices.push(Notice::Moved { service, before, home, open });
--- a/crates/region/tests/region/main.rs
+++ b/crates/region/tests/region/main.rs
@@ -209,18 +209,24 @@
     assert_eq!(sim.running(), SLOTS);
 }
 
-/// Limit that servers name, in requests a second, the window in which requests are counted, and the
-/// number that may be exceeded in no window: one and a half times what the limit allows, and 5.
-const LIMIT: f64 = 5.0;
+/// Limit that servers name, in requests a second, and the window in which requests are counted.
+const LIMIT: usize = 5;
 const LIMIT_WINDOW: Span = Span::from_secs(4);
-const MAX_ARRIVALS: usize = 35;
-/// Eight tenths of what the limits of all servers allow in 6 s.
-const LEAST_GRANTED: usize = 288;
+
+/// Returns the number of requests that a server may get in the window: one and a half times what its
+/// limit allows, and 5.
+fn max_arrivals(limit: usize) -> usize {
+    limit * 4 * 3 / 2 + 5
+}
+
+fn name_limit(sim: &mut Sim, limit: usize) {
+    sim.limit = Some(f64::from(u32::try_from(limit).unwrap()));
+}
 
 #[test]
 fn a_limited_server_gets_no_more_than_its_limit_while_its_home_changes_or_is_disputed() {
     type Trouble = fn(&mut Sim, usize);
-    let troubles: [(&str, Trouble); 5] = [
+    let troubles: [(&str, Trouble); 6] = [
         ("none", |_, _| {}),
         ("planned stop", |sim, home| sim.announce_stop(home)),
         ("crash", |sim, home| sim.crash(home)),
@@ -236,23 +242,62 @@
             sim.block_gossip(next, others[0]);
             sim.block_gossip(next, others[1]);
         }),
+        ("messages are lost", |sim, _| sim.loss = 0.2),
     ];
     for (name, trouble) in troubles {
         let mut sim = Sim::start(6, 12);
         sim.advance(HOME_AGREED);
         let vms: Vec<usize> = (0..6).collect();
-        sim.limit = Some(LIMIT);
+        name_limit(&mut sim, LIMIT);
         granted_under_overload(&mut sim, &vms, Span::from_secs(2));
         let (from, home) = (sim.now, sim.home(0));
         trouble(&mut sim, home);
         let live: Vec<usize> = vms.iter().copied().filter(|n| sim.is_alive(*n)).collect();
         let granted = granted_under_overload(&mut sim, &live, Span::from_secs(6));
-        let most = sim.most_arrivals(from, LIMIT_WINDOW);
-        assert!(most <= MAX_ARRIVALS, "{name}: {most} in 4 s");
-        assert!(granted >= LEAST_GRANTED, "{name}: {granted} granted, the limit is not used");
+        let most = sim.most_arrivals(&vms, from, LIMIT_WINDOW);
+        assert!(most <= max_arrivals(LIMIT), "{name}: {most} in 4 s");
+        assert!(granted * 10 >= 8 * LIMIT * 6 * SERVERS, "{name}: {granted} granted in 6 s");
         sim.limit = None;
         granted_under_overload(&mut sim, &live, Span::from_secs(2));
         let granted = granted_under_overload(&mut sim, &live, Span::from_secs(1));
         assert!(granted > SERVERS * 20, "{name}: {granted} in a second after the limit ended");
     }
 }
+
+#[test]
+fn each_side_of_a_partition_keeps_the_limit_and_both_together_after_it() {
+    let mut sim = Sim::start(6, 13);
+    sim.advance(HOME_AGREED);
+    let vms: Vec<usize> = (0..6).collect();
+    name_limit(&mut sim, LIMIT);
+    granted_under_overload(&mut sim, &vms, Span::from_secs(2));
+    let from = sim.now;
+    sim.partition(&[0, 1]);
+    granted_under_overload(&mut sim, &vms, Span::from_secs(6));
+    for side in [&vms[..2], &vms[2..]] {
+        let most = sim.most_arrivals(side, from, LIMIT_WINDOW);
+        assert!(most <= max_arrivals(LIMIT), "{side:?}: {most} in 4 s");
+    }
+    sim.heal();
+    granted_under_overload(&mut sim, &vms, Span::from_secs(1));
+    let from = sim.now;
+    granted_under_overload(&mut sim, &vms, Span::from_secs(5));
+    let most = sim.most_arrivals(&vms, from, LIMIT_WINDOW);
+    assert!(most <= max_arrivals(LIMIT), "{most} in 4 s after the partition");
+}
+
+#[test]
+fn a_limit_that_changes_is_kept_from_then_on() {
+    let mut sim = Sim::start(6, 14);
+    sim.advance(HOME_AGREED);
+    let vms: Vec<usize> = (0..6).collect();
+    for limit in [8, 2, 5] {
+        name_limit(&mut sim, limit);
+        granted_under_overload(&mut sim, &vms, Span::from_secs(2));
+        let from = sim.now;
+        let granted = granted_under_overload(&mut sim, &vms, Span::from_secs(5));
+        let most = sim.most_arrivals(&vms, from, LIMIT_WINDOW);
+        assert!(most <= max_arrivals(limit), "{limit} a second: {most} in 4 s");
+        assert!(granted * 10 >= 8 * limit * 5 * SERVERS, "{limit} a second: {granted} in 5 s");
+    }
+}
--- a/crates/region/tests/region/sim.rs
+++ b/crates/region/tests/region/sim.rs
@@ -8,7 +8,7 @@
     Tier, Time, VmName, ZoneName,
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
-use region::{Frame, Gossip, GrantDecision, Region};
+use region::{Frame, Gossip, GrantDecision, LimitReport, Region};
 
 pub(crate) const SERVERS: usize = 12;
 pub(crate) const SLOTS: usize = 3;
@@ -26,6 +26,7 @@
 enum Datagram {
     Gossip(VmName, Gossip),
     Frame(Frame),
+    Limits(Vec<LimitReport>),
 }
 
 struct Vm {
@@ -64,8 +65,8 @@
     at_servers: BTreeMap<RequestId, (usize, Time)>,
     /// Time and tier of each grant.
     granted: Vec<(Time, u8)>,
-    /// Time and server of each grant.
-    arrivals: Vec<(Time, usize)>,
+    /// Time, server and VM of each grant.
+    arrivals: Vec<(Time, usize, usize)>,
     /// Limit that all servers name in their answers, in requests a second.
     pub(crate) limit: Option<f64>,
     /// Largest number of requests beyond the servers' slots, over all servers, seen so far.
@@ -178,6 +179,7 @@
                 match datagram {
                     Datagram::Gossip(vm, gossip) => region.receive_gossip(now, &vm, gossip),
                     Datagram::Frame(frame) => region.receive_frame(now, frame),
+                    Datagram::Limits(reports) => region.receive_limits(now, &reports),
                 }
                 self.collect_output(to);
             }
@@ -234,6 +236,10 @@
         region.flush(self.now);
         let (decided, frames) = (region.take_decisions(), region.take_frames());
         region.take_notices();
+        let reports = region.take_limit_reports();
+        for (to, reports) in reports {
+            self.send(n, index(to.as_str()), &Datagram::Limits(reports));
+        }
         for (to, frame) in frames {
             self.send(n, index(to.as_str()), &Datagram::Frame(frame));
         }
@@ -243,7 +249,7 @@
                     let open = self.decide(n, request);
                     let tier = open.tier;
                     self.granted.push((self.now, tier));
-                    self.arrivals.push((self.now, index(server.as_str())));
+                    self.arrivals.push((self.now, index(server.as_str()), n));
                     let place = (index(server.as_str()), self.now + SERVICE_TIME);
                     self.at_servers.insert(request, place);
                     self.most_excess = self.most_excess.max(self.excess());
@@ -275,14 +281,22 @@
         }
     }
 
-    /// Returns the largest number of requests that a server got in `window` from `from` on.
-    pub(crate) fn most_arrivals(&self, from: Time, window: Span) -> usize {
-        let late = |server| self.arrivals.iter().filter(move |(at, s)| *at >= from && *s == server);
-        let within = |server, start: Time| {
-            late(server).filter(|(at, _)| *at >= start && *at < start + window).count()
-        };
-        let most = |server| late(server).map(|(at, _)| within(server, *at)).max().unwrap_or(0);
-        (0..SERVERS).map(most).max().unwrap_or(0)
+    /// Returns the largest number of requests that a server got from `vms` in `window`, from `from`
+    /// on.
+    pub(crate) fn most_arrivals(&self, vms: &[usize], from: Time, window: Span) -> usize {
+        let mut most = 0;
+        for server in 0..SERVERS {
+            let of_server = self
+                .arrivals
+                .iter()
+                .filter(|(at, to, vm)| *at >= from && *to == server && vms.contains(vm));
+            let times: Vec<Time> = of_server.map(|(at, ..)| *at).collect();
+            let within = |start: &Time| {
+                times.iter().filter(|at| *at >= start && **at < *start + window).count()
+            };
+            most = most.max(times.iter().map(within).max().unwrap_or(0));
+        }
+        most
     }
 
     pub(crate) fn submit(&mut self, vm: usize, tier: u8) {
--- a/crates/relay/src/datagram.rs
+++ b/crates/relay/src/datagram.rs
@@ -5,7 +5,7 @@
 
 use model::{AccountName, Span, VmName};
 use poison::Suspect;
-use region::{Frame, Gossip};
+use region::{Frame, Gossip, LimitReport};
 use serde::{Deserialize, Serialize};
 
 use crate::quota::{RelayedUsage, UsageReport};
@@ -46,6 +46,8 @@
     Load(LoadReport),
     /// Messages about requests, between an entry VM and the home of a service.
     Frame(Frame),
+    /// Limits that servers named in answers, to the home of their service.
+    Limits(Vec<LimitReport>),
     /// Parts of requests under which servers ended, as far as the sender knows.
     Suspects(Vec<Suspect>),
 }
--- a/crates/relay/src/event_loop.rs
+++ b/crates/relay/src/event_loop.rs
@@ -272,6 +272,9 @@
             for (vm, frame) in self.scheduler.take_frames(clock::since_boot()) {
                 self.environment.send(&[vm], &Datagram::Frame(frame));
             }
+            for (home, reports) in self.scheduler.take_limit_reports() {
+                self.environment.send(&[home], &Datagram::Limits(reports));
+            }
             if (self.has_changes && now >= next_share)
                 || now >= next_idle_share
                 || self.scheduler.has_urgent_changes()
@@ -363,6 +366,7 @@
             Command::Receive(datagram) => match *datagram {
                 Datagram::Load(report) => self.scheduler.receive_load(now, report),
                 Datagram::Frame(frame) => self.scheduler.receive_frame(now, frame, &mut self.out),
+                Datagram::Limits(reports) => self.scheduler.receive_limits(now, &reports),
                 Datagram::Suspects(suspects) => self.scheduler.receive_suspects(now, &suspects),
             },
             Command::RestoreUsage(usage) => self.scheduler.restore_usage(now, &usage),
--- a/crates/relay/src/scheduler.rs
+++ b/crates/relay/src/scheduler.rs
@@ -17,7 +17,7 @@
     ServerId, ServiceName, Span, Ticket, Time, VmName, ZoneName,
 };
 use poison::{Admission, Detector, Suspect};
-use region::{Frame, GrantDecision, Notice, Region, ServiceUsage};
+use region::{Frame, GrantDecision, LimitReport, Notice, Region, ServiceUsage};
 use routing::{Plan, Quota};
 
 use crate::{
@@ -355,6 +355,16 @@
         previous != limit
     }
 
+    /// Processes another entry VM's reports of limits that servers named.
+    pub fn receive_limits(&mut self, now: Time, reports: &[LimitReport]) {
+        self.region.receive_limits(now, reports);
+    }
+
+    /// Takes the reports of limits that are to be sent to other entry VMs now.
+    pub fn take_limit_reports(&mut self) -> Vec<(VmName, Vec<LimitReport>)> {
+        self.region.take_limit_reports()
+    }
+
     /// Removes a request whose caller disconnected before it was granted, and refunds its charge.
     pub fn withdraw(
         &mut self,
