--- a/crates/fuchsiausher/tests/faults.rs
+++ b/crates/fuchsiausher/tests/faults.rs
@@ -136,6 +136,28 @@
     cluster.stop().await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn answer_that_ends_with_its_connection_is_whole_unless_it_ends_inside_an_event() {
+    let headers = [("authorization", "Bearer tier-0".to_owned())];
+    let path = "/services/order-desk/stock";
+    for fault in [Fault::Unframed, Fault::UnframedCut] {
+        let cluster = start(TestClusterConfig::small()).await;
+        for server in &cluster.servers {
+            server.set_fault(fault);
+        }
+        let chat = chat(&cluster, true).await;
+        let stock = call(cluster.caller_address(0), "GET", path, &headers, Vec::new()).await;
+        if fault == Fault::Unframed {
+            assert_eq!(chat.body.as_ref(), b"data: a\n\ndata: [DONE]\n\n");
+            assert_eq!(stock.unwrap().body, chat.body);
+        } else {
+            assert_eq!(error_body(&chat).error.reason, RefusalReason::Broken);
+            assert!(stock.is_err(), "{:?}", stock.map(|answer| answer.body));
+        }
+        cluster.stop().await;
+    }
+}
+
 /// Sends a chat with these messages and one that no other chat has.
 async fn chat_with(cluster: &TestCluster, texts: &[&str], n: u32) -> HttpResponse {
     let own = format!("question {n}");
--- a/crates/stand/src/faults.rs
+++ b/crates/stand/src/faults.rs
@@ -28,13 +28,17 @@
     /// Ends a streamed answer, or a call's answer of events, inside an event, but closes the body
     /// correctly.
     EndInsideEvent,
+    /// Answers with events, with neither a length nor chunks, and closes the connection.
+    Unframed,
+    /// The same, but closes the connection inside an event.
+    UnframedCut,
     /// Sends a body without end and without line breaks, until the client closes the connection.
     EndlessBody,
 }
 
 impl Fault {
     /// All faults, in the order of their discriminants.
-    const ALL: [Self; 10] = [
+    const ALL: [Self; 12] = [
         Self::None,
         Self::CloseUnanswered,
         Self::CloseMidAnswer,
@@ -44,11 +48,22 @@
         Self::EndlessHead,
         Self::EndByText,
         Self::EndInsideEvent,
+        Self::Unframed,
+        Self::UnframedCut,
         Self::EndlessBody,
     ];
 }
 
 impl Fault {
+    /// Returns the events of a response with neither a length nor chunks, or `None` for other faults.
+    pub(crate) fn unframed(self) -> Option<&'static str> {
+        match self {
+            Self::Unframed => Some("data: a\n\ndata: [DONE]\n\n"),
+            Self::UnframedCut => Some("data: a\n\ndata: b"),
+            _ => None,
+        }
+    }
+
     /// Returns the start of a response without end and the bytes that it repeats, or `None` for
     /// other faults.
     pub(crate) fn endless(self) -> Option<(&'static str, String)> {
--- a/crates/stand/src/server.rs
+++ b/crates/stand/src/server.rs
@@ -11,6 +11,7 @@
     net::{TcpListener, TcpStream},
     sync::{Mutex, Notify},
     task::JoinHandle,
+    time::timeout,
 };
 
 use crate::{
@@ -68,6 +69,9 @@
 /// Time for which a stand-in that a request ended is away.
 const DOWN_TIME: Duration = Duration::from_millis(1_200);
 
+/// Time without bytes after which a request has arrived.
+const QUIET_TIME: Duration = Duration::from_millis(50);
+
 /// State shared by the request handlers of one stand-in.
 #[derive(Debug)]
 pub(crate) struct Shared {
@@ -219,6 +223,10 @@
                 shared.stats.record_endless(sent);
                 return;
             }
+            if let Some(events) = shared.faults.get().unframed() {
+                send_unframed(stream, events).await;
+                return;
+            }
             let service = service_fn(move |request| handle(Arc::clone(&shared), request));
             // The client observes how the connection ended.
             let _ = hyper::server::conn::http1::Builder::new()
@@ -248,6 +256,16 @@
     sent
 }
 
+/// Reads a request, and sends a response that ends with the connection.
+async fn send_unframed(mut stream: TcpStream, events: &str) {
+    let mut request = [0; 1_024];
+    // Closing the connection before the whole request was read would reset it.
+    while let Ok(Ok(1..)) = timeout(QUIET_TIME, stream.read(&mut request)).await {}
+    let head = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\n";
+    let _ = stream.write_all(format!("{head}{events}").as_bytes()).await;
+    let _ = stream.shutdown().await;
+}
+
 /// Handles a request; an error closes the connection without an answer.
 async fn handle(
     shared: Arc<Shared>,
