--- a/crates/poison/src/detector.rs
+++ b/crates/poison/src/detector.rs
@@ -86,7 +86,8 @@
         /// Number of earlier trials that failed.
         failures: u32,
     },
-    /// A blocked part is no longer blocked, since an answer with it went on.
+    /// A part is no longer blocked, since an answer with it went on or servers that seemed to end
+    /// did not.
     Cleared {
         /// Service that the request was for.
         service: ServiceName,
@@ -229,8 +230,8 @@
         }
     }
 
-    /// Records that a server ended before its answer to a request had gone on for a while. `server`
-    /// is the server, and whether the request was let through as a trial.
+    /// Records that a server ended before its answer to a request had gone on for a while.
+    /// `is_trial` says whether the request was let through to try a blocked part.
     pub fn record_end(
         &mut self,
         now: Time,
@@ -263,7 +264,8 @@
     }
 
     /// Records that an answer ended with its connection before it had gone on for a while. It may be
-    /// complete: it counts as the end of its server if another sign of that end is seen.
+    /// complete: it counts as the end of its server, as in [`record_end`](Self::record_end), if
+    /// another sign of that end is seen.
     pub fn record_doubtful_end(
         &mut self,
         now: Time,
