Log changes of blocked parts from one value

Entry VMs and nodes without roles wrote the three lines each with code of their own. A notice now carries the same inputs for every change, and its text. `answers` is no longer logged: at a VM that learnt of a block from another it was 0.

--- a/crates/entry/src/suspicion.rs
+++ b/crates/entry/src/suspicion.rs
@@ -70,20 +70,8 @@
 }
 
 fn log_notices(notices: Vec<Notice>) {
-    for notice in notices {
-        match notice {
-            Notice::Blocked { service, part, ends, answers } => spdlog::warn!(
-                "part is blocked",
-                kv: { service = service.as_str(), part = part.to_string(), ends, answers }
-            ),
-            Notice::Tried { service, part, failures } => spdlog::info!(
-                "blocked part is tried",
-                kv: { service = service.as_str(), part = part.to_string(), failures }
-            ),
-            Notice::Cleared { service, part } => spdlog::info!(
-                "part is no longer blocked",
-                kv: { service = service.as_str(), part = part.to_string() }
-            ),
-        }
+    for Notice { change, service, part, ends, failures } in notices {
+        let (service, part) = (service.as_str(), part.to_string());
+        spdlog::warn!("{change}", kv: { service, part, ends, failures });
     }
 }
--- a/crates/poison/src/detector.rs
+++ b/crates/poison/src/detector.rs
@@ -1,6 +1,9 @@
 //! The [`Detector`]: collects ends and answers, and decides about requests.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    fmt,
+};
 
 use model::{Part, ServerId, ServiceName, Span, Time, VmName, unit_hash};
 
@@ -65,35 +68,46 @@
 
 /// A change to be logged for operators.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Notice {
-    /// A part is blocked.
-    Blocked {
-        /// Service whose servers ended.
-        service: ServiceName,
-        /// The part.
-        part: Part,
-        /// Number of servers that ended.
-        ends: u32,
-        /// Number of answers to other requests that went on meanwhile.
-        answers: u64,
-    },
-    /// A request is let through to try a blocked part.
-    Tried {
-        /// Service that the request is for.
-        service: ServiceName,
-        /// The part.
-        part: Part,
-        /// Number of earlier trials that failed.
-        failures: u32,
-    },
-    /// A part is no longer blocked, since an answer with it went on or servers that seemed to end
+pub struct Notice {
+    /// What has changed.
+    pub change: Change,
+    /// Service whose servers ended.
+    pub service: ServiceName,
+    /// The part.
+    pub part: Part,
+    /// Number of servers that ended.
+    pub ends: u32,
+    /// Number of trials that ended a server.
+    pub failures: u32,
+}
+
+/// What has changed about a part.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// The part is blocked.
+    Blocked,
+    /// A request is let through to try the blocked part.
+    Tried,
+    /// The part is no longer blocked, since an answer with it went on or servers that seemed to end
     /// did not.
-    Cleared {
-        /// Service that the request was for.
-        service: ServiceName,
-        /// The part.
-        part: Part,
-    },
+    Cleared,
+}
+
+impl fmt::Display for Change {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Blocked => "part is blocked",
+            Self::Tried => "blocked part is tried",
+            Self::Cleared => "part is no longer blocked",
+        })
+    }
+}
+
+impl Notice {
+    fn new(change: Change, (service, part): (&ServiceName, Part), record: &Record) -> Self {
+        let (ends, failures) = (record.ends(), record.failures());
+        Self { change, service: service.clone(), part, ends, failures }
+    }
 }
 
 /// What is known of all requests for a service.
@@ -187,8 +201,7 @@
                 if let Some(record) = record.filter(|r| r.blocked.is_some()) {
                     record.tried = Some(now);
                     record.unsent = true;
-                    let (service, part, failures) = (service.clone(), *part, record.failures());
-                    self.notices.push(Notice::Tried { service, part, failures });
+                    self.notices.push(Notice::new(Change::Tried, (service, *part), record));
                 }
             }
         }
@@ -208,8 +221,7 @@
                 continue;
             }
             if record.blocked.is_some() {
-                let (service, part) = (service.clone(), *part);
-                self.notices.push(Notice::Cleared { service, part });
+                self.notices.push(Notice::new(Change::Cleared, (service, *part), record));
             }
             record.clear(now);
             record.unsent = true;
@@ -223,8 +235,7 @@
             if of_service == service {
                 record.unsent |= record.refute(now, server);
                 if record.unblock_if_refuted(now) {
-                    let (service, part) = (service.clone(), *part);
-                    self.notices.push(Notice::Cleared { service, part });
+                    self.notices.push(Notice::new(Change::Cleared, (service, *part), record));
                 }
             }
         }
@@ -310,18 +321,14 @@
             let (service, part) = (&suspect.service, suspect.part);
             let Some(record) = self.record(now, service, part, answers) else { continue };
             let was_blocked = record.blocked.is_some();
-            let is_news = record.merge(now, suspect);
-            let is_blocked = record.blocked.is_some();
-            let ends = record.ends();
-            record.unsent |= is_news;
-            let (service, part) = (service.clone(), part);
-            match (was_blocked, is_blocked) {
-                (false, true) => {
-                    self.notices.push(Notice::Blocked { service, part, ends, answers: 0 });
-                }
-                (true, false) => self.notices.push(Notice::Cleared { service, part }),
-                _ => {}
-            }
+            record.unsent |= record.merge(now, suspect);
+            let change = match (was_blocked, record.blocked.is_some()) {
+                (false, true) => Change::Blocked,
+                (true, false) => Change::Cleared,
+                _ => continue,
+            };
+            let notice = Notice::new(change, (service, part), record);
+            self.notices.push(notice);
         }
     }
 
@@ -420,8 +427,8 @@
         }
         record.blocked = Some(now);
         record.unsent = true;
-        let service = service.clone();
-        self.notices.push(Notice::Blocked { service, part, ends, answers });
+        let notice = Notice::new(Change::Blocked, (service, part), record);
+        self.notices.push(notice);
     }
 
     /// Returns when the next trial of a blocked part may begin here, with the delay of `steps` more
--- a/crates/poison/src/lib.rs
+++ b/crates/poison/src/lib.rs
@@ -16,6 +16,6 @@
 mod suspect;
 
 pub use crate::{
-    detector::{Admission, Detector, Notice},
+    detector::{Admission, Change, Detector, Notice},
     suspect::{End, Suspect},
 };
--- a/crates/relay/src/event_loop.rs
+++ b/crates/relay/src/event_loop.rs
@@ -418,20 +418,9 @@
 }
 
 fn log_part_notice(notice: &poison::Notice) {
-    match notice {
-        poison::Notice::Blocked { service, part, ends, answers } => spdlog::warn!(
-            "part is blocked",
-            kv: { service = service.as_str(), part = part.to_string(), ends = *ends, answers = *answers }
-        ),
-        poison::Notice::Tried { service, part, failures } => spdlog::info!(
-            "blocked part is tried",
-            kv: { service = service.as_str(), part = part.to_string(), failures = *failures }
-        ),
-        poison::Notice::Cleared { service, part } => spdlog::info!(
-            "part is no longer blocked",
-            kv: { service = service.as_str(), part = part.to_string() }
-        ),
-    }
+    let poison::Notice { change, service, part, ends, failures } = notice;
+    let (service, part) = (service.as_str(), part.to_string());
+    spdlog::warn!("{change}", kv: { service, part, ends = *ends, failures = *failures });
 }
 
 fn log_usage(usage: &ServiceUsage) {
