Tell callers with a blocked part when it is tried next

They were told twice that time, cut to a third of what they had left, as for a peak of load that passes.

--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -293,7 +293,14 @@
                         plan = self.plan_version
                     }
                 );
-                Err(not_run(reason, Some(self.retry_after(retry_after))))
+                let delay = match (reason, retry_after) {
+                    // The time of the next trial is known, and no retry helps before it.
+                    (RefusalReason::BlockedPart, Some(wait)) => {
+                        Duration::from(wait).max(MIN_RETRY_AFTER)
+                    }
+                    _ => self.retry_after(retry_after),
+                };
+                Err(not_run(reason, Some(delay)))
             }
             Ok(None) => Err(not_run(RefusalReason::Stopping, Some(MIN_RETRY_AFTER))),
             Err(_) => Err(not_run(RefusalReason::Shed, None)),
