--- a/crates/relay/src/scheduler.rs
+++ b/crates/relay/src/scheduler.rs
@@ -5,7 +5,7 @@
 //! servers. It performs no input or output; [`event_loop`](crate::event_loop) drives it.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     net::SocketAddr,
     sync::Arc,
 };
@@ -173,6 +173,9 @@
         let others = fleet.entries.len().saturating_sub(1);
         self.region.set_grace(share_interval(others) + share_interval(others));
         self.region.set_vms(fleet.entries.clone());
+        let known: BTreeSet<&ServerId> =
+            fleet.servers.iter().map(|(server, _)| &server.id).collect();
+        self.limits.retain(|id, _| known.contains(id));
         self.fleet = fleet;
         self.offer_servers(now, out);
     }
