--- a/crates/backend/src/exchange.rs
+++ b/crates/backend/src/exchange.rs
@@ -3,7 +3,7 @@
 //! An [`Exchange`] owns its connection until the response was read to the end. Then it returns the
 //! connection to the pool of the client.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{fmt, net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
 use http::{
@@ -24,6 +24,27 @@
 /// reused. Later, the server could close the connection while a request is on its way.
 const KEEP_ALIVE_FRACTION: f64 = 0.7;
 
+/// How the end of a response is marked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Framing {
+    /// Its length is announced, or it has no body.
+    Length,
+    /// It consists of chunks, the last of which is marked.
+    Chunks,
+    /// It ends with its connection, so that its end cannot be told from a server that stopped early.
+    Connection,
+}
+
+impl fmt::Display for Framing {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Length => "length",
+            Self::Chunks => "chunks",
+            Self::Connection => "connection",
+        })
+    }
+}
+
 /// A response whose head has arrived.
 ///
 /// Dropping it before the end of the body closes the connection. Servers that notice this cancel
@@ -84,13 +105,23 @@
         &self.headers
     }
 
-    /// Returns whether the response has neither a length nor chunks and ends with its connection, so
-    /// that its end cannot be told from a server that stopped early.
+    /// Returns how the end of the response is marked.
     #[must_use]
-    pub fn ends_with_connection(&self) -> bool {
-        let has_length = self.headers.contains_key(CONTENT_LENGTH);
+    pub fn framing(&self) -> Framing {
         let has_body = self.status != StatusCode::NO_CONTENT && !self.status.is_redirection();
-        has_body && !has_length && !self.headers.contains_key(TRANSFER_ENCODING)
+        if self.headers.contains_key(TRANSFER_ENCODING) {
+            Framing::Chunks
+        } else if !has_body || self.headers.contains_key(CONTENT_LENGTH) {
+            Framing::Length
+        } else {
+            Framing::Connection
+        }
+    }
+
+    /// Returns whether the response ends with its connection; see [`Framing::Connection`].
+    #[must_use]
+    pub fn ends_with_connection(&self) -> bool {
+        self.framing() == Framing::Connection
     }
 
     /// Returns the next piece of the body, or `None` at its end. Trailers are skipped.
--- a/crates/backend/src/lib.rs
+++ b/crates/backend/src/lib.rs
@@ -15,7 +15,7 @@
 
 pub use crate::{
     client::{Client, REQUEST_ID, Timeouts},
-    exchange::Exchange,
+    exchange::{Exchange, Framing},
     failure::Failure,
     stream::{PROOF_TIME, StreamReader, StreamState},
 };
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -570,7 +570,7 @@
         } else {
             Outcome::Cancelled
         });
-        self.log_answer(&server, exchange.status(), 0, EventTimes::default());
+        self.log_answer((&server, &exchange), 0, EventTimes::default());
         Ok(self.response(exchange.status(), exchange.headers(), full(body)))
     }
 
@@ -599,8 +599,7 @@
 
     pub(crate) fn log_answer(
         &mut self,
-        server: &ServerId,
-        status: StatusCode,
+        (server, exchange): (&ServerId, &Exchange),
         events: u32,
         times: EventTimes,
     ) {
@@ -613,7 +612,8 @@
             kv: {
                 id = self.id.as_str(),
                 server = server.as_str(),
-                status = status.as_u16(),
+                status = exchange.status().as_u16(),
+                framing = exchange.framing().to_string(),
                 events,
                 sends = self.sends,
                 tier = u8::from(self.tier),
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -8,7 +8,7 @@
     time::{Duration, Instant},
 };
 
-use backend::{Failure, PROOF_TIME};
+use backend::{Exchange, Failure, PROOF_TIME};
 use bytes::Bytes;
 use futures_util::StreamExt;
 use http::Response;
@@ -145,7 +145,7 @@
         self.response.submission.answer_went_on();
     }
 
-    fn finish(mut self) -> ServerId {
+    fn finish(mut self) -> (ServerId, Exchange) {
         if !self.went_on && self.response.exchange.ends_with_connection() {
             self.response.submission.answer_ended_early(&self.response.server);
         } else if !self.went_on {
@@ -154,8 +154,9 @@
         let total = Span::from(self.response.sent.elapsed());
         let first = self.first.unwrap_or(total);
         let tokens = self.events.count();
-        self.response.submission.finish(Outcome::Done { first, total, tokens });
-        self.response.server
+        let StartedResponse { submission, server, exchange, .. } = self.response;
+        submission.finish(Outcome::Done { first, total, tokens });
+        (server, exchange)
     }
 }
 
@@ -190,8 +191,8 @@
             }
             StreamPart::End => {
                 let (events, times) = (stream.events.count(), stream.times);
-                let server = stream.finish();
-                self.log_answer(&server, status, events, times);
+                let (server, exchange) = stream.finish();
+                self.log_answer((&server, &exchange), events, times);
                 return Ok(self.response(status, &headers, crate::forward::full(Bytes::new())));
             }
             StreamPart::Broken(why) => {
@@ -235,11 +236,9 @@
                     continue;
                 }
                 StreamPart::End => {
-                    let (status, events) =
-                        (stream.response.exchange.status(), stream.events.count());
-                    let times = stream.times;
-                    let server = stream.finish();
-                    self.log_answer(&server, status, events, times);
+                    let (events, times) = (stream.events.count(), stream.times);
+                    let (server, exchange) = stream.finish();
+                    self.log_answer((&server, &exchange), events, times);
                     return;
                 }
                 StreamPart::Broken(why) => why,
