Treat a resumed stream that ends with its connection before a new event as broken off

Callers got a stream framed as complete with the rest of its events missing: the check for an end before the first event asked whether any event was known, which is always so after a resume and for a caller that came with the id of its last event. It now asks whether this server has sent a new event. A server that has nothing more to send must mark the end of its empty answer.

--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -32,6 +32,8 @@
 /// The state of a stream from one server.
 struct StreamState {
     events: EventSplitter,
+    /// Number of events that earlier servers sent.
+    earlier: u32,
     response: StartedResponse,
     /// Time from the send to the first events of this server.
     first: Option<Span>,
@@ -123,11 +125,11 @@
     /// stops between two events of a stream with neither length nor chunks cannot be told from one
     /// that has sent all of them.
     fn early_end(&self) -> Option<&'static str> {
-        let has_no_event = self.events.last().is_none() && self.events.count() == 0;
+        let has_no_event = self.events.count() == self.earlier;
         if self.events.is_inside_event() {
             Some("the stream ended inside an event")
         } else if has_no_event && self.response.exchange.ends_with_connection() {
-            Some("the connection ended before the first event")
+            Some("the connection ended before the first new event")
         } else {
             None
         }
@@ -169,6 +171,7 @@
     ) -> Result<Response<Body>, (Box<Self>, RequestFailure)> {
         let mut stream = StreamState {
             events: self.events(),
+            earlier: 0,
             response,
             first: None,
             went_on: false,
@@ -296,6 +299,7 @@
                 after = events.last().unwrap_or(0)
             }
         );
-        Some(StreamState { events, response, first: None, went_on: false, times })
+        let earlier = events.count();
+        Some(StreamState { events, earlier, response, first: None, went_on: false, times })
     }
 }
