Resume a stream only with an answer of the same status and media type

Callers got a stream that ended as if it were complete, or bytes that are none of its events, when the next server answered the resume with 204, another 2xx or another content type: any success was taken for the continuation. An answer that differs from the first one in status or media type is now a failed send, and the stream is tried elsewhere as far as the route allows or broken off. The test failed before (a 204 ended the stream as complete after event 1 of 3) and passes with eleven answers at two cuts each.

--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -4,14 +4,14 @@
 //! resumed at another server after the last whole event, where the route allows it.
 
 use std::{
-    io,
+    fmt, io,
     time::{Duration, Instant},
 };
 
 use backend::{Exchange, Failure, PROOF_TIME};
 use bytes::Bytes;
 use futures_util::StreamExt;
-use http::Response;
+use http::{Response, StatusCode, header::CONTENT_TYPE};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
 use meters::Operation;
@@ -276,30 +276,66 @@
     /// Resumes a stream at another server, after the last whole event.
     async fn resume(&mut self, stream: StreamState) -> Option<StreamState> {
         let StreamState { mut events, response, times, .. } = stream;
-        let StartedResponse { submission, server, exchange, .. } = response;
+        events.discard_partial();
+        let StartedResponse { submission, server, exchange: before, .. } = response;
+        let kind = StreamKind::of(&before);
         // The server stops working on a stream whose connection is closed.
-        drop(exchange);
+        drop(before);
         submission.finish(Outcome::Failed);
         self.avoid(server);
-        if !self.may_resend() {
-            return None;
-        }
-        events.discard_partial();
-        let response = self.send(events.last()).await.ok()?;
-        if !response.exchange.status().is_success() {
-            response.submission.finish(Outcome::Failed);
-            return None;
-        }
-        self.frontend.meters.count(Operation::Resumed);
-        spdlog::info!(
-            "stream resumed",
-            kv: {
-                id = self.id.as_str(),
-                server = response.server.as_str(),
-                after = events.last().unwrap_or(0)
+        while self.may_resend() {
+            let response = self.send(events.last()).await.ok()?;
+            if StreamKind::of(&response.exchange) == kind {
+                self.frontend.meters.count(Operation::Resumed);
+                spdlog::info!(
+                    "stream resumed",
+                    kv: {
+                        id = self.id.as_str(),
+                        server = response.server.as_str(),
+                        after = events.last().unwrap_or(0)
+                    }
+                );
+                let earlier = events.count();
+                return Some(StreamState {
+                    events,
+                    earlier,
+                    response,
+                    first: None,
+                    went_on: false,
+                    times,
+                });
             }
-        );
-        let earlier = events.count();
-        Some(StreamState { events, earlier, response, first: None, went_on: false, times })
+            let StartedResponse { exchange, submission, sent, server } = response;
+            let why = format!("the server answered a resume with {}", StreamKind::of(&exchange));
+            self.log_send_failure(&server, (&why, Duration::ZERO), Verdict::Ran, sent);
+            submission.finish(Outcome::Failed);
+            self.avoid(server);
+        }
+        None
+    }
+}
+
+/// The status and media type of a response. A server whose response differs from the earlier one in
+/// these does not go on with its stream.
+#[derive(Debug, PartialEq, Eq)]
+struct StreamKind {
+    status: StatusCode,
+    media_type: Option<String>,
+}
+
+impl StreamKind {
+    fn of(exchange: &Exchange) -> Self {
+        let media_type = exchange.headers().get(CONTENT_TYPE).map(|value| {
+            let text = String::from_utf8_lossy(value.as_bytes());
+            text.split(';').next().unwrap_or_default().trim().to_ascii_lowercase()
+        });
+        Self { status: exchange.status(), media_type }
+    }
+}
+
+impl fmt::Display for StreamKind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let media_type = self.media_type.as_deref().unwrap_or("no media type");
+        write!(f, "{} and {media_type}", self.status.as_u16())
     }
 }
