Ask whether the server lives where an answer ends with its connection

Callers got an answer framed as complete whose server had ended on the way (ORDER): a stream with neither length nor chunks that was cut between two events, or a plain answer without length. Its end by the connection was passed on with the entry VM's own chunks or length, although nobody knew that it was one. A process that ends closes its listener with its connections. At such an end the client now opens another connection to the server, which replaces the one that ended in the pool; if the server refuses it, the answer is broken off, resumed or sent to another server as the route allows. The end waits for one round trip; answers whose end is marked for nothing. Weighed: to pass the end on as it came (HTTP/1.0, no length) leaves the doubt to callers, who cannot ask; to resume after each such end runs the whole prompt again.

--- a/crates/backend/src/client.rs
+++ b/crates/backend/src/client.rs
@@ -39,6 +39,9 @@
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// Number of unanswered probes after which the kernel closes a connection.
 const KEEPALIVE_PROBES: u32 = 2;
+/// Time for which a connection that was opened without a request may be used. The server has not
+/// said yet when it closes idle ones.
+const UNUSED_LIFETIME: Duration = Duration::from_secs(1);
 
 /// The sending half of an HTTP/1 connection.
 #[derive(Debug)]
@@ -111,12 +114,7 @@
 
     /// Adds a connection that may be reused for `lifetime`, unless [`MAX_IDLE`] connections to the
     /// server are idle. Closed and expired connections to the server are removed first.
-    pub(crate) fn put(
-        &self,
-        address: SocketAddr,
-        connection: Connection,
-        lifetime: Option<Duration>,
-    ) {
+    fn put(&self, address: SocketAddr, connection: Connection, lifetime: Option<Duration>) {
         let mut pool = self.0.lock().unwrap_or_else(PoisonError::into_inner);
         let now = Instant::now();
         let connections = pool.entry(address).or_default();
@@ -132,6 +130,20 @@
     }
 }
 
+impl IdlePool {
+    /// Adds a connection once it is ready for a request.
+    pub(crate) async fn release(
+        self,
+        address: SocketAddr,
+        mut connection: Connection,
+        lifetime: Option<Duration>,
+    ) {
+        if connection.is_reusable().await {
+            self.put(address, connection, lifetime);
+        }
+    }
+}
+
 impl Client {
     /// Creates a client without open connections.
     #[must_use]
@@ -169,29 +181,39 @@
                 Err(unwritten) => request = unwritten,
             }
         }
-        let connection = self.connect(address).await?;
+        let connection = self.connect(address).await.map_err(|why| Failure::NotSent { why })?;
         match self.send_on(connection, address, id, request).await {
             Ok(result) => result,
             Err(_) => Err(Failure::NotSent { why: "the connection closed at once".into() }),
         }
     }
 
+    /// Opens a connection that becomes available to requests.
+    ///
+    /// # Errors
+    ///
+    /// Returns the cause if the server does not accept a connection.
+    pub(crate) async fn open_idle(&self, address: SocketAddr) -> Result<(), String> {
+        let connection = self.connect(address).await?;
+        tokio::spawn(self.pool.clone().release(address, connection, Some(UNUSED_LIFETIME)));
+        Ok(())
+    }
+
     /// Opens a connection and spawns the task that drives it.
-    async fn connect(&self, address: SocketAddr) -> Result<Connection, Failure> {
-        let not_sent = |why: String| Failure::NotSent { why };
+    async fn connect(&self, address: SocketAddr) -> Result<Connection, String> {
         let stream = timeout(self.timeouts.connect, TcpStream::connect(address))
             .await
-            .map_err(|_| not_sent("connecting took too long".into()))?
-            .map_err(|e| not_sent(e.to_string()))?;
-        stream.set_nodelay(true).map_err(|e| not_sent(e.to_string()))?;
-        detect_broken_path(&stream).map_err(|e| not_sent(e.to_string()))?;
+            .map_err(|_| "connecting took too long".to_owned())?
+            .map_err(|e| e.to_string())?;
+        stream.set_nodelay(true).map_err(|e| e.to_string())?;
+        detect_broken_path(&stream).map_err(|e| e.to_string())?;
         let allowance = HeadAllowance::unlimited();
         let stream = LimitedStream::new(stream, allowance.clone());
         let (sender, driver) = http1::Builder::new()
             .max_buf_size(MAX_HEAD)
             .handshake(TokioIo::new(stream))
             .await
-            .map_err(|e| not_sent(e.to_string()))?;
+            .map_err(|e| e.to_string())?;
         tokio::spawn(async move {
             // The sending half reports the same errors to its user.
             let _ = driver.await;
--- a/crates/backend/src/exchange.rs
+++ b/crates/backend/src/exchange.rs
@@ -15,9 +15,9 @@
 use tokio::time::timeout;
 
 use crate::{
-    client::{Client, Connection, IdlePool, REQUEST_ID, describe},
+    client::{Client, Connection, REQUEST_ID, describe},
     failure::Failure,
-    limits::{Buffered, MAX_BODY},
+    limits::MAX_BODY,
 };
 
 /// Fraction of the timeout announced in the `keep-alive` header for which an idle connection is
@@ -56,11 +56,9 @@
     body: Incoming,
     connection: Option<Connection>,
     address: SocketAddr,
-    pool: IdlePool,
-    idle_timeout: Duration,
+    client: Client,
     /// Number of body bytes received so far.
     received: u64,
-    buffered: Buffered,
 }
 
 impl Exchange {
@@ -77,10 +75,8 @@
             body,
             connection: Some(connection),
             address,
-            pool: client.pool.clone(),
-            idle_timeout: client.timeouts.idle,
+            client: client.clone(),
             received: 0,
-            buffered: client.buffered.clone(),
         }
     }
 
@@ -126,7 +122,8 @@
 
     /// Returns the next piece of the body, or `None` at its end. Trailers are skipped.
     ///
-    /// At the end, the connection becomes available to other requests.
+    /// At the end, the connection becomes available to other requests. The end of a response that
+    /// ends with its connection is to be confirmed with [`confirm_end`](Self::confirm_end).
     ///
     /// # Errors
     ///
@@ -134,7 +131,7 @@
     /// 64 MiB, and [`Failure::Timeout`] if no piece arrives within the idle timeout.
     pub async fn chunk(&mut self) -> Result<Option<Bytes>, Failure> {
         loop {
-            let frame = timeout(self.idle_timeout, self.body.frame()).await;
+            let frame = timeout(self.client.timeouts.idle, self.body.frame()).await;
             match frame.map_err(|_| Failure::Timeout)? {
                 None => {
                     self.release_connection();
@@ -156,6 +153,25 @@
         }
     }
 
+    /// Checks that the server did not end together with a response that ends with its connection: it
+    /// then accepts no other connection. One that it accepts becomes available to other requests.
+    ///
+    /// Called at the end of the body. A response whose end is marked needs no check.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Failure::Broken`] if the server accepts no connection, so that the response may be
+    /// incomplete.
+    pub async fn confirm_end(&self) -> Result<(), Failure> {
+        if self.framing() != Framing::Connection {
+            return Ok(());
+        }
+        self.client.open_idle(self.address).await.map_err(|why| {
+            let why = format!("the server ended with its response: {why}");
+            Failure::Broken { why }
+        })
+    }
+
     /// Reads the end of a body whose announced length has arrived, so that the connection can be
     /// reused.
     pub async fn finish(&mut self) {
@@ -163,15 +179,15 @@
         let _ = self.chunk().await;
     }
 
-    /// Reads the whole remaining body.
+    /// Reads the whole remaining body and [confirms](Self::confirm_end) its end.
     ///
     /// # Errors
     ///
-    /// As [`Exchange::chunk`], and [`Failure::Broken`] if the body is longer than `max` bytes, or if
+    /// As [`Exchange::chunk`] and [`Exchange::confirm_end`], and [`Failure::Broken`] if the body is longer than `max` bytes, or if
     /// it is longer than 64 KiB while bodies of 64 MiB in all are being buffered.
     pub async fn read(&mut self, max: usize) -> Result<Bytes, Failure> {
         let mut body = Vec::new();
-        let mut count = self.buffered.count();
+        let mut count = self.client.buffered.count();
         while let Some(chunk) = self.chunk().await? {
             if body.len() + chunk.len() > max {
                 return Err(too_long(max as u64));
@@ -181,22 +197,18 @@
             }
             body.extend_from_slice(&chunk);
         }
+        self.confirm_end().await?;
         Ok(Bytes::from(body))
     }
 
     /// Returns the connection to the pool once it is ready for another request. Called after the
     /// response was read to the end.
     fn release_connection(&mut self) {
-        let Some(mut connection) = self.connection.take() else {
+        let Some(connection) = self.connection.take() else {
             return;
         };
-        let (pool, address) = (self.pool.clone(), self.address);
         let lifetime = keep_alive_lifetime(&self.headers);
-        tokio::spawn(async move {
-            if connection.is_reusable().await {
-                pool.put(address, connection, lifetime);
-            }
-        });
+        tokio::spawn(self.client.pool.clone().release(self.address, connection, lifetime));
     }
 }
 
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -228,15 +228,15 @@
             }
             Some((Ok(bytes), forwarded))
         }
-        Ok(None) if !forwarded.ended && forwarded.is_inside_event() => {
-            Some(forwarded.break_off(&inside_event()).await)
-        }
-        Ok(None) => {
-            if !forwarded.ended {
+        Ok(None) if forwarded.ended => None,
+        Ok(None) if forwarded.is_inside_event() => Some(forwarded.break_off(&inside_event()).await),
+        Ok(None) => match forwarded.running.exchange.confirm_end().await {
+            Ok(()) => {
                 forwarded.complete();
+                None
             }
-            None
-        }
+            Err(failure) => Some(forwarded.break_off(&failure).await),
+        },
         Err(_) if forwarded.ended => None,
         Err(failure) => Some(forwarded.break_off(&failure).await),
     }
--- a/crates/fuchsiausher/tests/faults.rs
+++ b/crates/fuchsiausher/tests/faults.rs
@@ -158,6 +158,34 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn answer_that_ends_early_without_framing_does_not_look_complete() {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_secs();
+    for fault in [Fault::UnframedCrash, Fault::CutHead] {
+        let cluster = start(TestClusterConfig::small()).await;
+        for server in &cluster.servers {
+            server.set_fault(fault);
+        }
+        let key = ("idempotency-key", format!("{now}-{fault:?}"));
+        let headers = [("authorization", "Bearer tier-0".to_owned()), key];
+        let vm = cluster.caller_address(0);
+        let stock = call(vm, "GET", "/services/order-desk/stock", &headers, Vec::new()).await;
+        let failed = stock.as_ref().map_or(true, |answer| answer.status == 502);
+        assert!(failed, "{fault:?}: {:?}", stock.map(|answer| (answer.status, answer.body)));
+        let chat = chat(&cluster, true).await;
+        assert_ne!(error_body(&chat).error.verdict, Verdict::NotRun, "{fault:?}");
+        if fault != Fault::UnframedEmpty {
+            // The stand-in that ended listens again.
+            tokio::time::sleep(Duration::from_millis(1_500)).await;
+            let path = "/services/order-desk/orders";
+            let order = call(vm, "POST", path, &headers, b"{}".to_vec()).await.unwrap();
+            assert_eq!(order.status, 502, "{fault:?}");
+            assert_ne!(error_body(&order).error.verdict, Verdict::NotRun, "{fault:?}");
+        }
+        cluster.stop().await;
+    }
+}
+
 /// Sends a chat with these messages and one that no other chat has.
 async fn chat_with(cluster: &TestCluster, texts: &[&str], n: u32) -> HttpResponse {
     let own = format!("question {n}");
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -90,11 +90,15 @@
                     return StreamPart::Broken(failure.to_string());
                 }
                 Ok(Ok(None)) => {
-                    let Some(why) = self.early_end() else {
-                        return StreamPart::End;
+                    let why = match self.early_end() {
+                        Some(why) => why.into(),
+                        None => match self.response.exchange.confirm_end().await {
+                            Ok(()) => return StreamPart::End,
+                            Err(failure) => failure.to_string(),
+                        },
                     };
                     self.record_server_end();
-                    return StreamPart::Broken(why.into());
+                    return StreamPart::Broken(why);
                 }
                 Ok(Ok(Some(bytes))) => match self.events.push(&bytes) {
                     Ok(whole) if whole.is_empty() => {}
@@ -121,9 +125,7 @@
         self.first.map_or(Duration::ZERO, |first| elapsed.saturating_sub(Duration::from(first)))
     }
 
-    /// Returns why a stream that has ended here is not complete, if that can be told. A server that
-    /// stops between two events of a stream with neither length nor chunks cannot be told from one
-    /// that has sent all of them.
+    /// Returns why a stream that has ended here is not complete, if its bytes show that.
     fn early_end(&self) -> Option<&'static str> {
         let has_no_event = self.events.count() == self.earlier;
         if self.events.is_inside_event() {
--- a/crates/stand/src/faults.rs
+++ b/crates/stand/src/faults.rs
@@ -5,6 +5,13 @@
 /// Text in the body of a request at which [`Fault::EndByText`] ends the stand-in.
 pub const ENDING_TEXT: &str = "a text that ends servers";
 
+/// The head of a response with neither a length nor chunks, without the empty line at its end.
+macro_rules! unframed_head {
+    () => {
+        "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n"
+    };
+}
+
 /// A fault that a stand-in injects into its answers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Fault {
@@ -32,13 +39,19 @@
     Unframed,
     /// The same, but closes the connection inside an event.
     UnframedCut,
+    /// The same, but closes the connection before the first event.
+    UnframedEmpty,
+    /// The same, but ends after the first event, as at [`Fault::EndByText`].
+    UnframedCrash,
+    /// Closes the connection in the head of the response, before its last line end.
+    CutHead,
     /// Sends a body without end and without line breaks, until the client closes the connection.
     EndlessBody,
 }
 
 impl Fault {
     /// All faults, in the order of their discriminants.
-    const ALL: [Self; 12] = [
+    const ALL: [Self; 15] = [
         Self::None,
         Self::CloseUnanswered,
         Self::CloseMidAnswer,
@@ -50,16 +63,22 @@
         Self::EndInsideEvent,
         Self::Unframed,
         Self::UnframedCut,
+        Self::UnframedEmpty,
+        Self::UnframedCrash,
+        Self::CutHead,
         Self::EndlessBody,
     ];
 }
 
 impl Fault {
-    /// Returns the events of a response with neither a length nor chunks, or `None` for other faults.
+    /// Returns the text of a response with neither a length nor chunks, or `None` for other faults.
     pub(crate) fn unframed(self) -> Option<&'static str> {
         match self {
-            Self::Unframed => Some("data: a\n\ndata: [DONE]\n\n"),
-            Self::UnframedCut => Some("data: a\n\ndata: b"),
+            Self::Unframed => Some(concat!(unframed_head!(), "\r\ndata: a\n\ndata: [DONE]\n\n")),
+            Self::UnframedCut => Some(concat!(unframed_head!(), "\r\ndata: a\n\ndata: b")),
+            Self::UnframedCrash => Some(concat!(unframed_head!(), "\r\ndata: a\n\n")),
+            Self::UnframedEmpty => Some(concat!(unframed_head!(), "\r\n")),
+            Self::CutHead => Some(unframed_head!()),
             _ => None,
         }
     }
--- a/crates/stand/src/server.rs
+++ b/crates/stand/src/server.rs
@@ -206,13 +206,11 @@
         };
         let accepted = tokio::select! {
             accepted = open.accept() => accepted,
-            () = shared.ended.notified() => {
-                abort_all(&connections);
-                Err(std::io::Error::other("ended by a request"))
-            }
+            () = shared.ended.notified() => Err(std::io::Error::other("ended by a request")),
         };
-        let Ok((stream, _)) = accepted else {
+        let Ok((mut stream, _)) = accepted else {
             listener = None;
+            abort_all(&connections);
             continue;
         };
         let _ = stream.set_nodelay(true);
@@ -223,8 +221,14 @@
                 shared.stats.record_endless(sent);
                 return;
             }
-            if let Some(events) = shared.faults.get().unframed() {
-                send_unframed(stream, events).await;
+            let fault = shared.faults.get();
+            if let Some(response) = fault.unframed() {
+                send_unframed(&mut stream, response).await;
+                if fault == Fault::UnframedCrash {
+                    shared.ended.notify_one();
+                    // Ending aborts this task.
+                    std::future::pending::<()>().await;
+                }
                 return;
             }
             let service = service_fn(move |request| handle(Arc::clone(&shared), request));
@@ -257,13 +261,12 @@
 }
 
 /// Reads a request, and sends a response that ends with the connection.
-async fn send_unframed(mut stream: TcpStream, events: &str) {
+async fn send_unframed(stream: &mut TcpStream, response: &str) {
     let mut request = [0; 1_024];
     // Closing the connection before the whole request was read would reset it.
     while let Ok(Ok(1..)) = timeout(QUIET_TIME, stream.read(&mut request)).await {}
-    let head = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\n";
-    let _ = stream.write_all(format!("{head}{events}").as_bytes()).await;
-    let _ = stream.shutdown().await;
+    // The client observes how the connection ended.
+    let _ = stream.write_all(response.as_bytes()).await;
 }
 
 /// Handles a request; an error closes the connection without an answer.
