Break off a call's stream that ends with its connection before its first event

At nodes without roles, callers of a plain service got 200 with no event, framed as complete, when the server closed the connection of an event stream with neither length nor chunks before its first event; entry VMs treat that as broken off. The case UnframedEmpty of answer_that_ends_early_without_framing_does_not_look_complete failed before (200, empty body).

--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -171,6 +171,13 @@
         self.events.as_ref().is_some_and(StreamReader::is_inside_event)
     }
 
+    /// Returns whether the response consists of events, has neither a length nor chunks, and no event
+    /// has arrived.
+    fn is_unframed_and_empty(&self) -> bool {
+        let is_empty = self.events.as_ref().is_some_and(|events| events.events() == 0);
+        is_empty && self.running.exchange.ends_with_connection()
+    }
+
     /// Ends a response that is not complete. The error in the body aborts the connection before the
     /// announced length or the final chunk, so that the caller notices it.
     async fn break_off(mut self, failure: &Failure) -> (io::Result<Bytes>, Self) {
@@ -230,6 +237,10 @@
         }
         Ok(None) if forwarded.ended => None,
         Ok(None) if forwarded.is_inside_event() => Some(forwarded.break_off(&inside_event()).await),
+        Ok(None) if forwarded.is_unframed_and_empty() => {
+            let why = "the connection ended before the first event".into();
+            Some(forwarded.break_off(&Failure::Broken { why }).await)
+        }
         Ok(None) => match forwarded.running.exchange.confirm_end().await {
             Ok(()) => {
                 forwarded.complete();
--- a/crates/fuchsiausher/tests/faults.rs
+++ b/crates/fuchsiausher/tests/faults.rs
@@ -161,7 +161,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn answer_that_ends_early_without_framing_does_not_look_complete() {
     let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_secs();
-    for fault in [Fault::UnframedCrash, Fault::CutHead] {
+    for fault in [Fault::UnframedCrash, Fault::UnframedEmpty, Fault::CutHead] {
         let cluster = start(TestClusterConfig::small()).await;
         for server in &cluster.servers {
             server.set_fault(fault);
