Attribute a response on a kept connection to its request only by its id

Shown here: the client accepted any response without an id, so that a 503 or 421 without id on a kept connection was taken for a refusal (the request was sent to a second server or reported as not run), and an old 200 without id was passed on as the answer. A server that has echoed an id on a connection must do so in every further response there; a refusal from servers that never echo counts only as the first response of its connection.

--- a/crates/backend/src/client.rs
+++ b/crates/backend/src/client.rs
@@ -48,6 +48,10 @@
 pub(crate) struct Connection {
     sender: SendRequest<Full<Bytes>>,
     allowance: HeadAllowance,
+    /// Whether a response was received on it.
+    pub(crate) is_used: bool,
+    /// Whether one of these echoed the id of its request.
+    pub(crate) has_echoes: bool,
 }
 
 impl Connection {
@@ -218,7 +222,7 @@
             // The sending half reports the same errors to its user.
             let _ = driver.await;
         });
-        Ok(Connection { sender, allowance })
+        Ok(Connection { sender, allowance, is_used: false, has_echoes: false })
     }
 
     /// Sends a request on one connection. Returns the request as the outer error if no byte of it
--- a/crates/backend/src/exchange.rs
+++ b/crates/backend/src/exchange.rs
@@ -59,6 +59,7 @@
     client: Client,
     /// Number of body bytes received so far.
     received: u64,
+    is_attributed: bool,
 }
 
 impl Exchange {
@@ -77,17 +78,32 @@
             address,
             client: client.clone(),
             received: 0,
+            is_attributed: false,
         }
     }
 
-    /// Checks that the response echoes the id of its request, or no id.
-    pub(crate) fn check_id(self, id: &str) -> Result<Self, Failure> {
-        match self.headers.get(REQUEST_ID) {
-            Some(echo) if echo.as_bytes() != id.as_bytes() => Err(Failure::IdMismatch),
-            _ => Ok(self),
+    /// Checks that the response echoes the id of its request, or no id on a connection without
+    /// earlier echoes. A server may send a response once more where another one is expected.
+    pub(crate) fn check_id(mut self, id: &str) -> Result<Self, Failure> {
+        let echo = self.headers.get(REQUEST_ID).map(|echo| echo.as_bytes() == id.as_bytes());
+        let Some(connection) = &mut self.connection else { return Ok(self) };
+        self.is_attributed = echo == Some(true) || !connection.is_used;
+        if echo.unwrap_or(!connection.has_echoes) {
+            connection.is_used = true;
+            connection.has_echoes |= echo == Some(true);
+            Ok(self)
+        } else {
+            Err(Failure::IdMismatch)
         }
     }
 
+    /// Returns whether the response is certainly that to its request: it echoes the id, or is the
+    /// first on its connection.
+    #[must_use]
+    pub fn is_attributed(&self) -> bool {
+        self.is_attributed
+    }
+
     /// Returns the status code of the response.
     #[must_use]
     pub fn status(&self) -> StatusCode {
--- a/crates/backend/src/failure.rs
+++ b/crates/backend/src/failure.rs
@@ -22,7 +22,8 @@
         /// The cause, as text for logs and for the message to the caller.
         why: String,
     },
-    /// The response echoes the id of another request.
+    /// The response echoes the id of another request, or none on a connection on which the server
+    /// echoed ids before.
     IdMismatch,
 }
 
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -434,6 +434,15 @@
         if !info.misdirected {
             response.submission.report_limit(&response.server, info.limit);
         }
+        if (info.not_run || info.misdirected) && !response.exchange.is_attributed() {
+            let StartedResponse { submission, server, sent, .. } = response;
+            self.possible_runs += 1;
+            submission.finish(Outcome::Failed);
+            let why = "a refusal that may be that of an earlier request";
+            self.log_send_failure(&server, (why, Duration::ZERO), Verdict::MayHaveRun, sent);
+            self.avoid.push(server);
+            return Err(may_have_run(RefusalReason::ServerFailed));
+        }
         if info.not_run || info.misdirected {
             let StartedResponse { submission, server, sent, .. } = response;
             let why = if info.misdirected { "another server has the address" } else { "full" };
