Give each request an identity by which it may end servers

What operators saw (BUDGET): a request that ends each server that begins to run it comes again with the same path, caller and body at any entry VM, and reaches one server after the other. Cause: servers' ends were related to the parts that requests share. A request with a prompt has only parts that sound requests clear all the time, and the content of a plain call without its caller is cleared by other callers. Each request now also has a part of its own, the hash of caller, path and body, which only its repetitions share; it is a suspect only after an end, so nothing is kept of other requests. Both kinds of node.

--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -34,7 +34,7 @@
     pub(crate) path: String,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
-    /// Parts of the request that other requests may have too.
+    /// Parts of its content that other requests may have too.
     pub(crate) parts: Vec<Part>,
 }
 
@@ -114,7 +114,9 @@
     ticket: Ticket,
     outgoing: &OutgoingRequest,
 ) -> Result<RunningRequest, RequestFailure> {
-    let parts = outgoing.parts.clone();
+    let mut parts = outgoing.parts.clone();
+    let caller = ticket.account.as_str();
+    parts.push(Part::request(caller, &outgoing.path, &outgoing.body));
     let mut suspicion = Suspicion::new(&context.app.detector, ticket.service.clone(), parts);
     let mut submission = context.app.config.handle.submit(ticket);
     loop {
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -235,7 +235,7 @@
             }
             Some((Ok(bytes), forwarded))
         }
-        Ok(None) if forwarded.ended => None,
+        Ok(None) | Err(_) if forwarded.ended => None,
         Ok(None) if forwarded.is_inside_event() => Some(forwarded.break_off(&inside_event()).await),
         Ok(None) if forwarded.is_unframed_and_empty() => {
             let why = "the connection ended before the first event".into();
@@ -248,7 +248,6 @@
             }
             Err(failure) => Some(forwarded.break_off(&failure).await),
         },
-        Err(_) if forwarded.ended => None,
         Err(failure) => Some(forwarded.break_off(&failure).await),
     }
 }
--- a/crates/fuchsiausher/tests/faults.rs
+++ b/crates/fuchsiausher/tests/faults.rs
@@ -186,17 +186,17 @@
     }
 }
 
-/// Sends a chat with these messages and one that no other chat has.
-async fn chat_with(cluster: &TestCluster, texts: &[&str], n: u32) -> HttpResponse {
-    let own = format!("question {n}");
-    let texts = texts.iter().copied().chain([own.as_str()]);
-    let messages: Vec<Value> = texts.map(|text| json!({"role": "user", "content": text})).collect();
+/// Sends a chat with these messages.
+async fn chat_with(cluster: &TestCluster, texts: &[&str]) -> HttpResponse {
+    let messages: Vec<Value> =
+        texts.iter().map(|text| json!({"role": "user", "content": text})).collect();
     let body = json!({"model": "loom-model", "max_tokens": 4, "messages": messages});
     cluster.chat(0, "tier-0", body.to_string().into_bytes()).await.expect("an answer arrives")
 }
 
-#[tokio::test(flavor = "multi_thread")]
-async fn message_that_ends_servers_is_not_sent_to_one_server_after_the_other() {
+/// Sends bad chats, each with these messages and the ones of its number, among sound ones that share
+/// the first message.
+async fn keeps_bad_chats_from_servers(own: impl Fn(u32) -> Vec<String>) {
     let mut config = TestClusterConfig::small();
     config.groups[0].count = 8;
     let cluster = start(config).await;
@@ -205,7 +205,10 @@
     }
     let mut sent = Vec::new();
     for n in 0..40 {
-        let bad = chat_with(&cluster, &["the manual", ENDING_TEXT], n).await;
+        let own = own(n);
+        let texts: Vec<&str> =
+            ["the manual"].into_iter().chain(own.iter().map(String::as_str)).collect();
+        let bad = chat_with(&cluster, &texts).await;
         sent.push(runs(&cluster, &id_of(&bad)));
         if *sent.last().unwrap() == 0 {
             assert_eq!(bad.status, 503);
@@ -213,7 +216,8 @@
             assert_eq!(error_body(&bad).error.verdict, Verdict::NotRun);
         }
         for m in 0..2 {
-            let sound = chat_with(&cluster, &["the manual"], 1_000 + 2 * n + m).await;
+            let question = format!("question {}", 2 * n + m);
+            let sound = chat_with(&cluster, &["the manual", &question]).await;
             assert_eq!(sound.status, 200, "sound requests share the first message");
         }
         tokio::time::sleep(Duration::from_millis(150)).await;
@@ -223,6 +227,16 @@
     cluster.stop().await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn message_that_ends_servers_is_not_sent_to_one_server_after_the_other() {
+    keeps_bad_chats_from_servers(|n| vec![ENDING_TEXT.into(), format!("bad question {n}")]).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn request_that_ends_servers_is_not_sent_to_one_server_after_the_other() {
+    keeps_bad_chats_from_servers(|_| vec![ENDING_TEXT.into()]).await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn answer_of_another_request_is_not_passed_on() {
     let cluster = start(TestClusterConfig::small()).await;
--- a/crates/model/src/part.rs
+++ b/crates/model/src/part.rs
@@ -1,4 +1,4 @@
-//! Parts of a request's content that several requests have in common.
+//! Parts of a request that several requests have in common.
 
 use std::fmt;
 
@@ -6,8 +6,8 @@
 
 use crate::hash::hash_texts;
 
-/// Identifies a part of a request's content, such as a document in a prompt, that other requests
-/// may contain too.
+/// Identifies a part of a request, such as a document in its prompt, that other requests may contain
+/// too. The largest part is the request itself, which its repetitions contain.
 ///
 /// A name of up to 16 hexadecimal digits stands for its value, and any other name for its hash.
 ///
@@ -24,7 +24,24 @@
 pub struct Part(u64);
 
 impl Part {
-    /// Returns the part that stands for a whole request, which only equal requests have in common.
+    /// Returns the part that stands for a request of one caller, which only its repetitions have in
+    /// common.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use model::Part;
+    ///
+    /// assert_eq!(Part::request("shop", "/stock/7", b""), Part::request("shop", "/stock/7", b""));
+    /// assert_ne!(Part::request("shop", "/stock/7", b""), Part::request("bank", "/stock/7", b""));
+    /// ```
+    #[must_use]
+    pub fn request(caller: &str, path: &str, body: &[u8]) -> Self {
+        Self(hash_texts(&[caller.as_bytes(), path.as_bytes(), body]))
+    }
+
+    /// Returns the part that stands for the content of a request without named parts, which equal
+    /// requests of all callers have in common.
     ///
     /// # Examples
     ///
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -141,12 +141,7 @@
         let Admitted { plan, route, account } = admitted;
         let allowed = caller_request.timeout.unwrap_or(route.timeout).min(route.timeout);
         let service = route.service(&caller_request.id).clone();
-        let parts = if caller_request.tokens.is_some() || !caller_request.parts.is_empty() {
-            caller_request.parts.as_slice().into()
-        } else {
-            let path = head.uri.path_and_query().map_or("/", http::uri::PathAndQuery::as_str);
-            [Part::whole(path, &body)].into()
-        };
+        let parts = request_parts(&head, &caller_request, &body, account.as_deref());
         Self {
             id: caller_request.id.clone(),
             service,
@@ -656,6 +651,24 @@
     }
 }
 
+/// Returns the parts of a request that others may have too: those of its prompt, or its content, and
+/// the request itself, which may be repeated.
+fn request_parts(
+    head: &request::Parts,
+    caller_request: &CallerRequest,
+    body: &[u8],
+    account: Option<&Account>,
+) -> Arc<[Part]> {
+    let path = head.uri.path_and_query().map_or("/", http::uri::PathAndQuery::as_str);
+    let mut parts = caller_request.parts.clone();
+    if caller_request.tokens.is_none() && parts.is_empty() {
+        parts.push(Part::whole(path, body));
+    }
+    let caller = account.map_or("", |account| account.name.as_str());
+    parts.push(Part::request(caller, path, body));
+    parts.into()
+}
+
 fn millis(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
