Send nothing to servers that say that they leave or want a pause

Each entry VM keeps what servers said in answers that it passed on itself (relay::Restraints), whatever the registry or the VM that grants servers knows: these servers are avoided in its requests, and a grant of one is given back. If there is no other server, the caller gets 503 with the time of the pause. A process that starts later under the same id has said nothing yet. A server that leaves may close its listener before its last answers, so the end of an answer with neither length nor chunks is not confirmed for it.

--- a/crates/backend/src/exchange.rs
+++ b/crates/backend/src/exchange.rs
@@ -195,11 +195,11 @@
         let _ = self.chunk().await;
     }
 
-    /// Reads the whole remaining body and [confirms](Self::confirm_end) its end.
+    /// Reads the whole remaining body. Its end is to be confirmed as that of [`Exchange::chunk`].
     ///
     /// # Errors
     ///
-    /// As [`Exchange::chunk`] and [`Exchange::confirm_end`], and [`Failure::Broken`] if the body is longer than `max` bytes, or if
+    /// As [`Exchange::chunk`], and [`Failure::Broken`] if the body is longer than `max` bytes, or if
     /// it is longer than 64 KiB while bodies of 64 MiB in all are being buffered.
     pub async fn read(&mut self, max: usize) -> Result<Bytes, Failure> {
         let mut body = Vec::new();
@@ -213,10 +213,20 @@
             }
             body.extend_from_slice(&chunk);
         }
-        self.confirm_end().await?;
         Ok(Bytes::from(body))
     }
 
+    /// Reads the whole remaining body and confirms its end.
+    ///
+    /// # Errors
+    ///
+    /// As [`Exchange::read`] and [`Exchange::confirm_end`].
+    pub async fn read_whole(&mut self, max: usize) -> Result<Bytes, Failure> {
+        let body = self.read(max).await?;
+        self.confirm_end().await?;
+        Ok(body)
+    }
+
     /// Returns the connection to the pool once it is ready for another request. Called after the
     /// response was read to the end.
     fn release_connection(&mut self) {
--- a/crates/entry/src/chat.rs
+++ b/crates/entry/src/chat.rs
@@ -100,7 +100,7 @@
     mut running: RunningRequest,
 ) -> Response<Body> {
     let result = tokio::select! {
-        result = running.exchange.read(MAX_RESPONSE_BYTES) => result,
+        result = running.exchange.read_whole(MAX_RESPONSE_BYTES) => result,
         () = wait_revoked(&mut running.submission) => {
             running.submission.finish(Outcome::Cancelled);
             return context.refuse(preempted(Verdict::MayHaveRun)).await;
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -98,7 +98,7 @@
     mut context: RequestContext,
     mut running: RunningRequest,
 ) -> Response<Body> {
-    let body = match running.exchange.read(MAX_BUFFERED_BYTES).await {
+    let body = match running.exchange.read_whole(MAX_BUFFERED_BYTES).await {
         Ok(body) => body,
         Err(failure) => {
             if matches!(failure, Failure::Broken { .. }) {
--- a/crates/relay/src/control.rs
+++ b/crates/relay/src/control.rs
@@ -24,6 +24,7 @@
 use crate::{
     dialect::Dialect,
     event_loop::{PlanState, SchedulerHandle, SharedPlan},
+    frontend::{SharedRestraints, lock},
     scheduler::Fleet,
 };
 
@@ -72,6 +73,7 @@
     last_answer: Arc<AtomicU64>,
     pub(crate) stopping: Arc<AtomicBool>,
     pub(crate) handle: SchedulerHandle,
+    restraints: Arc<SharedRestraints>,
     cluster: Mutex<ClusterView>,
 }
 
@@ -89,6 +91,7 @@
         last_answer: Arc<AtomicU64>,
         stopping: Arc<AtomicBool>,
         handle: SchedulerHandle,
+        restraints: Arc<SharedRestraints>,
     ) -> Self {
         let cluster = Mutex::default();
         Self {
@@ -104,6 +107,7 @@
             last_answer,
             stopping,
             handle,
+            restraints,
             cluster,
         }
     }
@@ -201,6 +205,8 @@
         if changed || entries != cluster.entries.len() {
             let fleet = cluster.fleet(now, (&self.vm, &self.zone));
             log_fleet(&fleet, control);
+            let servers = fleet.servers.iter().map(|(server, _)| server);
+            lock(&self.restraints).set_servers(now, servers);
             self.handle.set_fleet(fleet);
         }
     }
--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -11,6 +11,8 @@
 use model::{AccountName, Part, RefusalReason, ServerId, Verdict};
 use routing::Plan;
 
+use crate::restraint::Notice;
+
 /// The parameters of a caller's request, beside method, path and body.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct CallerRequest {
@@ -61,6 +63,8 @@
     /// Number of requests a second that the server takes from all VMs together, as long as it says
     /// so. `None` if it names no limit.
     pub limit: Option<f64>,
+    /// What the server says about further requests.
+    pub notice: Notice,
 }
 
 /// The failure of a request that no server answers.
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -101,6 +101,17 @@
     pub(crate) server: ServerId,
 }
 
+impl StartedResponse {
+    /// Checks that the server did not end together with a response that ends with its connection. A
+    /// server that leaves may refuse connections before it has sent its last responses.
+    pub(crate) async fn confirm_end(&self, frontend: &Frontend) -> Result<(), Failure> {
+        if frontend.restraints().is_leaving(&self.server) {
+            return Ok(());
+        }
+        self.exchange.confirm_end().await
+    }
+}
+
 /// Serves one request of a caller and returns its response.
 pub(crate) async fn forward(frontend: Arc<Frontend>, request: Request<Incoming>) -> Response<Body> {
     let started = Instant::now();
@@ -240,15 +251,39 @@
         }
     }
 
-    /// Asks the scheduler for a server.
+    /// Asks the scheduler for a server to which requests may be sent. The VM that grants servers may
+    /// not know what they said to this one.
     async fn place(
         &mut self,
+    ) -> Result<(Submission, ServerId, std::net::SocketAddr), RequestFailure> {
+        loop {
+            let withheld = self.frontend.restraints().withheld(clock::since_boot(), &self.service);
+            let (submission, server, address) = self.place_once(&withheld).await?;
+            let wait = self.frontend.restraints().wait(clock::since_boot(), &server);
+            let Some(wait) = wait else { return Ok((submission, server, address)) };
+            submission.finish(Outcome::Cancelled);
+            let (id, wait_ms) = (self.id.as_str(), wait.map_or(0, Span::as_millis));
+            spdlog::info!("server is withheld", kv: { id, server = server.as_str(), wait_ms });
+            if withheld.contains(&server) {
+                // A server to avoid is granted only if there is no other.
+                let delay = wait.map_or(MIN_RETRY_AFTER, Duration::from).max(MIN_RETRY_AFTER);
+                // The callers that were refused in the pause do not return at once.
+                let delay = delay.mul_f64(1.0 + rand::random::<f64>() / 4.0);
+                return Err(not_run(RefusalReason::NoServer, Some(delay)));
+            }
+        }
+    }
+
+    /// Asks the scheduler for a server, and for none of `withheld` if there is another.
+    async fn place_once(
+        &mut self,
+        withheld: &[ServerId],
     ) -> Result<(Submission, ServerId, std::net::SocketAddr), RequestFailure> {
         // A server that could not be connected to has not received the request.
         let is_retry = self.possible_arrivals > 0;
         let placement_request = PlacementRequest {
             ticket: self.ticket(),
-            avoid: self.avoid.clone(),
+            avoid: self.avoid.iter().chain(withheld).cloned().collect(),
             late: self.late(),
             charge: self.charge(),
             is_retry,
@@ -423,6 +458,10 @@
         head.status = response.exchange.status();
         head.headers = response.exchange.headers().clone();
         let info = self.frontend.dialect.parse_response(&head);
+        if !info.misdirected {
+            let (service, server) = (&self.service, &response.server);
+            self.frontend.restraints().record(clock::since_boot(), service, server, info.notice);
+        }
         if let Some(slowness) = info.slowness {
             response.submission.report_slowness(&response.server, slowness);
         }
@@ -533,8 +572,14 @@
         &mut self,
         response: StartedResponse,
     ) -> Result<Response<Body>, RequestFailure> {
-        let StartedResponse { mut exchange, submission, sent, server } = response;
-        let read = timeout_at(self.deadline.into(), exchange.read(MAX_BUFFERED_BODY)).await;
+        let mut response = response;
+        let read = async {
+            let body = response.exchange.read(MAX_BUFFERED_BODY).await?;
+            response.confirm_end(&self.frontend).await?;
+            Ok(body)
+        };
+        let read = timeout_at(self.deadline.into(), read).await;
+        let StartedResponse { exchange, submission, sent, server } = response;
         let body = match read {
             Ok(Ok(body)) => body,
             Ok(Err(failure)) => {
--- a/crates/relay/src/frontend.rs
+++ b/crates/relay/src/frontend.rs
@@ -5,7 +5,7 @@
 
 use std::{
     sync::{
-        Arc,
+        Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::Duration,
@@ -21,6 +21,7 @@
 use crate::{
     dialect::{CallerRequest, Dialect, RequestFailure},
     event_loop::{SchedulerHandle, SharedPlan},
+    restraint::Restraints,
 };
 
 /// Retry delay sent to callers while this VM has no current plan. By then a VM that has just
@@ -32,6 +33,8 @@
 /// and would cost it one of its attempts.
 const PLAN_WAIT: Duration = Duration::from_millis(1_500);
 
+pub(crate) type SharedRestraints = Mutex<Restraints>;
+
 /// The state shared by all request tasks of an entry VM.
 pub(crate) struct Frontend {
     pub(crate) dialect: Arc<dyn Dialect>,
@@ -44,6 +47,8 @@
     pub(crate) key_lease: Span,
     pub(crate) handle: SchedulerHandle,
     pub(crate) client: Client,
+    /// What servers said about further requests.
+    pub(crate) restraints: Arc<SharedRestraints>,
     pub(crate) meters: Arc<Meters>,
     pub(crate) incarnation: u64,
     pub(crate) request_count: AtomicU64,
@@ -63,6 +68,11 @@
         RequestId::from(u128::from(self.incarnation) << 64 | u128::from(count))
     }
 
+    /// Returns what servers said about further requests.
+    pub(crate) fn restraints(&self) -> MutexGuard<'_, Restraints> {
+        lock(&self.restraints)
+    }
+
     /// Returns the time since the plan was last confirmed to be current.
     pub(crate) fn plan_age(&self) -> Span {
         clock::since_boot() - Time::from_micros(self.plan_confirmed.load(Ordering::Relaxed))
@@ -131,6 +141,11 @@
     }
 }
 
+/// Locks the restraints, which stay consistent if a task panics.
+pub(crate) fn lock(restraints: &SharedRestraints) -> MutexGuard<'_, Restraints> {
+    restraints.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// Creates the failure of a request that was not run by any server and will not be.
 pub(crate) fn not_run(reason: RefusalReason, retry_after: Option<Duration>) -> RequestFailure {
     RequestFailure { status: status_of(reason), reason, verdict: Verdict::NotRun, retry_after }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -18,6 +18,7 @@
 mod listen;
 mod node;
 mod quota;
+mod restraint;
 mod retry_budget;
 mod scheduler;
 mod stream;
@@ -30,6 +31,7 @@
     listen::serve_probes,
     node::{Relay, RelayConfig},
     quota::{QuotaConfig, Quotas, RelayedUsage, UsageReport},
+    restraint::{Notice, Restraints},
     retry_budget::RetryBudgets,
     scheduler::{Charge, Decision, Fleet, Placement, PlacementRequest, Scheduler},
 };
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -29,7 +29,7 @@
     dialect::Dialect,
     error::{Error, ErrorKind},
     event_loop::{self, Environment, SharedPlan},
-    frontend::Frontend,
+    frontend::{Frontend, SharedRestraints},
     listen,
     quota::{QuotaConfig, Quotas},
     retry_budget::RetryBudgets,
@@ -185,6 +185,7 @@
             .change_context_lazy(|| Error::from(ErrorKind::Threads))?;
         let plan_state = Arc::new(SharedPlan::default());
         let (plan_updates, plan_versions) = watch::channel(0);
+        let restraints = Arc::new(SharedRestraints::default());
         let control_client = Arc::new(ControlClient::new(
             (config.vm.clone(), incarnation),
             config.zone.clone(),
@@ -197,6 +198,7 @@
             last_answer,
             Arc::clone(&stopping),
             handle.clone(),
+            Arc::clone(&restraints),
         ));
         control_client.add_controls(config.seeds.clone());
         tokio::spawn(Arc::clone(&control_client).run());
@@ -211,6 +213,7 @@
             key_lease: config.key_lease,
             handle,
             client: Client::new(BACKEND_TIMEOUTS),
+            restraints,
             meters,
             incarnation,
             request_count: AtomicU64::new(0),
--- /dev/null
+++ b/crates/relay/src/restraint.rs
@@ -0,0 +1,116 @@
+//! Servers to which this VM sends nothing, by what they said in answers that it passed on.
+//!
+//! A server that leaves or asks for a pause tells each VM by itself, and the VM goes by that even if
+//! the registry of servers, or the VM that grants them, has not learned it.
+
+use std::collections::BTreeMap;
+
+use keeper::{Phase, Server};
+use model::{ServerId, ServiceName, Span, Time};
+
+/// Time for which what an unlisted server said is kept.
+const RETENTION: Span = Span::from_secs(600);
+
+/// What a server said in an answer about further requests.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Notice {
+    /// Whether it is leaving.
+    pub leaving: bool,
+    /// Time for which it wants no requests.
+    pub pause: Option<Span>,
+}
+
+#[derive(Debug)]
+struct Restraint {
+    service: ServiceName,
+    /// Start time of the process that said it. `None` until a server with its id is listed.
+    born: Option<u64>,
+    said_at: Time,
+    leaving: bool,
+    paused_until: Time,
+}
+
+impl Restraint {
+    fn is_in_force(&self, now: Time) -> bool {
+        self.leaving || now < self.paused_until
+    }
+}
+
+/// What servers said, and what the registry lists of them.
+///
+/// # Examples
+///
+/// ```
+/// use model::{ServerId, ServiceName, Span, Time};
+/// use relay::{Notice, Restraints};
+///
+/// let mut restraints = Restraints::default();
+/// let (service, server) = (ServiceName::try_from("desk")?, ServerId::try_from("i-1")?);
+/// let now = Time::from_micros(1_000_000);
+/// let notice = Notice { pause: Some(Span::from_secs(2)), leaving: false };
+/// restraints.record(now, &service, &server, notice);
+/// assert_eq!(restraints.wait(now, &server), Some(Some(Span::from_secs(2))));
+/// assert_eq!(restraints.withheld(now, &service), [server.clone()]);
+/// assert_eq!(restraints.wait(now + Span::from_secs(2), &server), None);
+/// # Ok::<(), model::Error>(())
+/// ```
+#[derive(Debug, Default)]
+pub struct Restraints {
+    said: BTreeMap<ServerId, Restraint>,
+    listed: BTreeMap<ServerId, (u64, Phase)>,
+}
+
+impl Restraints {
+    /// Records what a server said in the head of an answer.
+    pub fn record(&mut self, now: Time, service: &ServiceName, id: &ServerId, notice: Notice) {
+        if notice == Notice::default() {
+            return;
+        }
+        let born = self.listed.get(id).map(|(born, _)| *born);
+        let restraint = self.said.entry(id.clone()).or_insert_with(|| Restraint {
+            service: service.clone(),
+            born,
+            said_at: now,
+            leaving: false,
+            paused_until: now,
+        });
+        restraint.said_at = now;
+        restraint.leaving |= notice.leaving;
+        if let Some(pause) = notice.pause {
+            restraint.paused_until = restraint.paused_until.max(now + pause);
+        }
+    }
+
+    /// Replaces the list of servers. A process that started later under the id of one that said
+    /// something has said nothing yet.
+    pub fn set_servers<'a>(&mut self, now: Time, servers: impl Iterator<Item = &'a Server>) {
+        self.listed = servers.map(|s| (s.id.clone(), (s.born, s.phase))).collect();
+        self.said.retain(|id, restraint| match self.listed.get(id) {
+            Some((born, _)) => *born <= *restraint.born.get_or_insert(*born),
+            None => now < restraint.said_at + RETENTION,
+        });
+        self.said.retain(|_, restraint| restraint.is_in_force(now));
+    }
+
+    /// Returns the servers of a service to which nothing is to be sent now.
+    #[must_use]
+    pub fn withheld(&self, now: Time, service: &ServiceName) -> Vec<ServerId> {
+        let of_service = self.said.iter().filter(|(_, r)| r.service == *service);
+        of_service.filter(|(_, r)| r.is_in_force(now)).map(|(id, _)| id.clone()).collect()
+    }
+
+    /// Returns `None` if requests may be sent to a server now, or else how long they may not be, as
+    /// far as that is known.
+    #[must_use]
+    pub fn wait(&self, now: Time, id: &ServerId) -> Option<Option<Span>> {
+        let restraint = self.said.get(id).filter(|r| r.is_in_force(now))?;
+        Some((!restraint.leaving).then(|| restraint.paused_until - now))
+    }
+
+    /// Returns whether a server said that it leaves, or the registry says so.
+    #[must_use]
+    pub fn is_leaving(&self, id: &ServerId) -> bool {
+        let is_listed = self.listed.get(id).is_some_and(|(_, phase)| *phase != Phase::Serving);
+        is_listed || self.said.get(id).is_some_and(|restraint| restraint.leaving)
+    }
+}
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -23,7 +23,7 @@
     dialect::RequestFailure,
     events::EventSplitter,
     forward::{Body, RequestTask, StartedResponse},
-    frontend::may_have_run,
+    frontend::{Frontend, may_have_run},
 };
 
 /// Maximum number of chunks of whole events queued for a caller that reads slowly.
@@ -75,7 +75,12 @@
 impl StreamState {
     /// Reads until whole events have arrived, the stream has ended, or no data has arrived for
     /// `max_gap`.
-    async fn next(&mut self, deadline: Instant, max_gap: Duration) -> StreamPart {
+    async fn next(
+        &mut self,
+        frontend: &Frontend,
+        deadline: Instant,
+        max_gap: Duration,
+    ) -> StreamPart {
         loop {
             let chunk = tokio::select! {
                 chunk = tokio::time::timeout(max_gap, self.response.exchange.chunk()) => chunk,
@@ -92,7 +97,7 @@
                 Ok(Ok(None)) => {
                     let why = match self.early_end() {
                         Some(why) => why.into(),
-                        None => match self.response.exchange.confirm_end().await {
+                        None => match self.response.confirm_end(frontend).await {
                             Ok(()) => return StreamPart::End,
                             Err(failure) => failure.to_string(),
                         },
@@ -179,7 +184,7 @@
             went_on: false,
             times: EventTimes::default(),
         };
-        let part = stream.next(self.deadline, self.first_event_timeout()).await;
+        let part = stream.next(&self.frontend, self.deadline, self.first_event_timeout()).await;
         let (status, headers) =
             (stream.response.exchange.status(), stream.response.exchange.headers().clone());
         let failure = match part {
@@ -232,7 +237,7 @@
                     self.log_caller_left(stream.events.count());
                     return;
                 }
-                part = stream.next(self.deadline, self.route.timeout) => part,
+                part = stream.next(&self.frontend, self.deadline, self.route.timeout) => part,
             };
             let why = match part {
                 StreamPart::Events(bytes) => {
