Log the servers from which requests are withheld, and forget leaving ones after ten minutes

The effects of Server-Leaving and of the pauses that servers ask for did not show in the logs. A server that said that it leaves, and then did not, was withheld as long as it ran; servers leave within seconds.

--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -26,6 +26,7 @@
     event_loop::Submission,
     events::EventSplitter,
     frontend::{Admitted, Frontend, may_have_run, not_run},
+    restraint::{Cause, Notice},
     scheduler::{Charge, Placement, PlacementRequest},
     stream::EventTimes,
 };
@@ -105,7 +106,7 @@
     /// Checks that the server did not end together with a response that ends with its connection. A
     /// server that leaves may refuse connections before it has sent its last responses.
     pub(crate) async fn confirm_end(&self, frontend: &Frontend) -> Result<(), Failure> {
-        if frontend.restraints().is_leaving(&self.server) {
+        if frontend.restraints().is_leaving(clock::since_boot(), &self.server) {
             return Ok(());
         }
         self.exchange.confirm_end().await
@@ -259,14 +260,18 @@
         loop {
             let withheld = self.frontend.restraints().withheld(clock::since_boot(), &self.service);
             let (submission, server, address) = self.place_once(&withheld).await?;
-            let wait = self.frontend.restraints().wait(clock::since_boot(), &server);
-            let Some(wait) = wait else { return Ok((submission, server, address)) };
+            let cause = self.frontend.restraints().cause(clock::since_boot(), &server);
+            let wait = match cause {
+                None => return Ok((submission, server, address)),
+                Some(Cause::Leaving) => Span::ZERO,
+                Some(Cause::Pause(wait)) => wait,
+            };
             submission.finish(Outcome::Cancelled);
-            let (id, wait_ms) = (self.id.as_str(), wait.map_or(0, Span::as_millis));
+            let (id, wait_ms) = (self.id.as_str(), wait.as_millis());
             spdlog::info!("server is withheld", kv: { id, server = server.as_str(), wait_ms });
             if withheld.contains(&server) {
                 // A server to avoid is granted only if there is no other.
-                let delay = wait.map_or(MIN_RETRY_AFTER, Duration::from).max(MIN_RETRY_AFTER);
+                let delay = Duration::from(wait).max(MIN_RETRY_AFTER);
                 // The callers that were refused in the pause do not return at once.
                 let delay = delay.mul_f64(1.0 + rand::random::<f64>() / 4.0);
                 return Err(not_run(RefusalReason::NoServer, Some(delay)));
@@ -459,8 +464,7 @@
         head.headers = response.exchange.headers().clone();
         let info = self.frontend.dialect.parse_response(&head);
         if !info.misdirected {
-            let (service, server) = (&self.service, &response.server);
-            self.frontend.restraints().record(clock::since_boot(), service, server, info.notice);
+            self.record_notice(&response.server, info.notice);
         }
         if let Some(slowness) = info.slowness {
             response.submission.report_slowness(&response.server, slowness);
@@ -497,6 +501,22 @@
         Ok(response)
     }
 
+    /// Records what a server says about further requests.
+    fn record_notice(&self, server: &ServerId, notice: Notice) {
+        let mut restraints = self.frontend.restraints();
+        if restraints.record(clock::since_boot(), &self.service, server, notice) {
+            spdlog::info!(
+                "requests are withheld from a server",
+                kv: {
+                    service = self.service.as_str(),
+                    server = server.as_str(),
+                    leaving = notice.leaving,
+                    pause_ms = notice.pause.map_or(0, Span::as_millis)
+                }
+            );
+        }
+    }
+
     /// Returns the parts of the prompt as text for logs.
     fn parts_text(&self) -> String {
         let parts = self.parts.iter().map(ToString::to_string);
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -31,7 +31,7 @@
     listen::serve_probes,
     node::{Relay, RelayConfig},
     quota::{QuotaConfig, Quotas, RelayedUsage, UsageReport},
-    restraint::{Notice, Restraints},
+    restraint::{Cause, Notice, Restraints},
     retry_budget::RetryBudgets,
     scheduler::{Charge, Decision, Fleet, Placement, PlacementRequest, Scheduler},
 };
--- a/crates/relay/src/restraint.rs
+++ b/crates/relay/src/restraint.rs
@@ -8,8 +8,9 @@
 use keeper::{Phase, Server};
 use model::{ServerId, ServiceName, Span, Time};
 
-/// Time for which what an unlisted server said is kept.
-const RETENTION: Span = Span::from_secs(600);
+/// Time for which requests are withheld from a server that said that it leaves. It is much longer
+/// than servers take to leave.
+const LEAVING_TIME: Span = Span::from_secs(600);
 
 /// What a server said in an answer about further requests.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -20,19 +21,27 @@
     pub pause: Option<Span>,
 }
 
+/// Why requests are withheld from a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cause {
+    /// It is leaving.
+    Leaving,
+    /// It wants no requests for this time.
+    Pause(Span),
+}
+
 #[derive(Debug)]
 struct Restraint {
     service: ServiceName,
     /// Start time of the process that said it. `None` until a server with its id is listed.
     born: Option<u64>,
-    said_at: Time,
-    leaving: bool,
+    leaving_until: Time,
     paused_until: Time,
 }
 
 impl Restraint {
     fn is_in_force(&self, now: Time) -> bool {
-        self.leaving || now < self.paused_until
+        now < self.leaving_until.max(self.paused_until)
     }
 }
 
@@ -42,16 +51,16 @@
 ///
 /// ```
 /// use model::{ServerId, ServiceName, Span, Time};
-/// use relay::{Notice, Restraints};
+/// use relay::{Cause, Notice, Restraints};
 ///
 /// let mut restraints = Restraints::default();
 /// let (service, server) = (ServiceName::try_from("desk")?, ServerId::try_from("i-1")?);
 /// let now = Time::from_micros(1_000_000);
 /// let notice = Notice { pause: Some(Span::from_secs(2)), leaving: false };
 /// restraints.record(now, &service, &server, notice);
-/// assert_eq!(restraints.wait(now, &server), Some(Some(Span::from_secs(2))));
+/// assert_eq!(restraints.cause(now, &server), Some(Cause::Pause(Span::from_secs(2))));
 /// assert_eq!(restraints.withheld(now, &service), [server.clone()]);
-/// assert_eq!(restraints.wait(now + Span::from_secs(2), &server), None);
+/// assert_eq!(restraints.cause(now + Span::from_secs(2), &server), None);
 /// # Ok::<(), model::Error>(())
 /// ```
 #[derive(Debug, Default)]
@@ -61,24 +70,33 @@
 }
 
 impl Restraints {
-    /// Records what a server said in the head of an answer.
-    pub fn record(&mut self, now: Time, service: &ServiceName, id: &ServerId, notice: Notice) {
+    /// Records what a server said in the head of an answer. Returns whether requests are withheld
+    /// from it that were not before.
+    pub fn record(
+        &mut self,
+        now: Time,
+        service: &ServiceName,
+        id: &ServerId,
+        notice: Notice,
+    ) -> bool {
         if notice == Notice::default() {
-            return;
+            return false;
         }
         let born = self.listed.get(id).map(|(born, _)| *born);
         let restraint = self.said.entry(id.clone()).or_insert_with(|| Restraint {
             service: service.clone(),
             born,
-            said_at: now,
-            leaving: false,
+            leaving_until: now,
             paused_until: now,
         });
-        restraint.said_at = now;
-        restraint.leaving |= notice.leaving;
+        let was_in_force = restraint.is_in_force(now);
+        if notice.leaving {
+            restraint.leaving_until = now + LEAVING_TIME;
+        }
         if let Some(pause) = notice.pause {
             restraint.paused_until = restraint.paused_until.max(now + pause);
         }
+        !was_in_force && restraint.is_in_force(now)
     }
 
     /// Replaces the list of servers. A process that started later under the id of one that said
@@ -87,7 +105,7 @@
         self.listed = servers.map(|s| (s.id.clone(), (s.born, s.phase))).collect();
         self.said.retain(|id, restraint| match self.listed.get(id) {
             Some((born, _)) => *born <= *restraint.born.get_or_insert(*born),
-            None => now < restraint.said_at + RETENTION,
+            None => true,
         });
         self.said.retain(|_, restraint| restraint.is_in_force(now));
     }
@@ -99,18 +117,18 @@
         of_service.filter(|(_, r)| r.is_in_force(now)).map(|(id, _)| id.clone()).collect()
     }
 
-    /// Returns `None` if requests may be sent to a server now, or else how long they may not be, as
-    /// far as that is known.
+    /// Returns why requests are withheld from a server now, or `None` if they may be sent.
     #[must_use]
-    pub fn wait(&self, now: Time, id: &ServerId) -> Option<Option<Span>> {
+    pub fn cause(&self, now: Time, id: &ServerId) -> Option<Cause> {
         let restraint = self.said.get(id).filter(|r| r.is_in_force(now))?;
-        Some((!restraint.leaving).then(|| restraint.paused_until - now))
+        let is_leaving = now < restraint.leaving_until;
+        Some(if is_leaving { Cause::Leaving } else { Cause::Pause(restraint.paused_until - now) })
     }
 
     /// Returns whether a server said that it leaves, or the registry says so.
     #[must_use]
-    pub fn is_leaving(&self, id: &ServerId) -> bool {
+    pub fn is_leaving(&self, now: Time, id: &ServerId) -> bool {
         let is_listed = self.listed.get(id).is_some_and(|(_, phase)| *phase != Phase::Serving);
-        is_listed || self.said.get(id).is_some_and(|restraint| restraint.leaving)
+        is_listed || self.said.get(id).is_some_and(|restraint| now < restraint.leaving_until)
     }
 }
--- a/crates/relay/tests/restraint.rs
+++ b/crates/relay/tests/restraint.rs
@@ -69,14 +69,16 @@
         assert_eq!(restraints.withheld(at(10_000), &service("desk")), expected, "{name}");
         assert!(restraints.withheld(at(10_000), &service("other")).is_empty(), "{name}");
         for n in 1..=3 {
-            let is_withheld = restraints.wait(at(10_000), &server(n)).is_some();
+            let is_withheld = restraints.cause(at(10_000), &server(n)).is_some();
             assert_eq!(is_withheld, withheld.contains(&n), "{name}, server {n}");
         }
     }
 }
 
 fn apply(restraints: &mut Restraints, ms: u64, event: Event) {
-    let mut record = |n, notice| restraints.record(at(ms), &service("desk"), &server(n), notice);
+    let mut record = |n, notice| {
+        restraints.record(at(ms), &service("desk"), &server(n), notice);
+    };
     match event {
         Leaving(n) => record(n, Notice { leaving: true, pause: None }),
         Pause(n, pause) => {
@@ -108,7 +110,7 @@
     apply(&mut restraints, 0, List(&[(1, 5, Serving), (2, 5, Draining), (3, 5, Gone)]));
     apply(&mut restraints, 10, Leaving(4));
     apply(&mut restraints, 10, Pause(5, 60_000));
-    let leaving = (1..=6).filter(|n| restraints.is_leaving(&server(*n)));
+    let leaving = (1..=6).filter(|n| restraints.is_leaving(at(20), &server(*n)));
     assert_eq!(leaving.collect::<Vec<_>>(), [2, 3, 4]);
 }
 
