Spread further trials of a blocked part, and count those without a result

The logs show a trial whose server was cut off, so that no result became known and the next trial came after 3 s like a first one, and two VMs that tried the part within 0.5 ms, as requests had waited at both: a trial is due 3 s after the last one at all VMs, and the spread of its delay was shorter than that. A trial without a result now counts like one that failed, and VMs spread each further trial over a second at least. trials_without_result_are_repeated_less_and_less_often failed before (a trial every 3 s, now 2 in 100 s), and so did waiting_requests_at_many_vms_try_a_part_one_at_a_time (120 trials too many in 20 rounds with 7 VMs, 10 allowed: messages take 60 ms there, so that two VMs may still begin at once).

--- a/crates/poison/src/detector.rs
+++ b/crates/poison/src/detector.rs
@@ -8,7 +8,7 @@
 use model::{Part, ServerId, ServiceName, Span, Time, VmName, unit_hash};
 
 use crate::{
-    record::{MIN_ENDS, Record},
+    record::{MIN_ENDS, Record, TRIAL_TIME},
     suspect::Suspect,
 };
 
@@ -20,15 +20,16 @@
 /// Minimum probability assumed for the failure of a sound request while servers end.
 const MIN_FAILURE_RATE: f64 = 0.2;
 /// Delay before the first request is let through to try a blocked part. It grows tenfold with each
-/// failure.
+/// trial that fails or of which no result becomes known.
 const TRIAL_DELAY: Span = Span::from_millis(200);
 /// Maximum delay between two trials of a part.
 const MAX_TRIAL_DELAY: Span = Span::from_secs(600);
 /// Share of the delay by which the trials of different VMs are spread, so that one of them has told
 /// the others of its trial before they begin one.
 const TRIAL_SPREAD: f64 = 0.25;
-/// Time after which a trial without a result counts as over.
-const TRIAL_TIME: Span = Span::from_secs(3);
+/// Minimum time over which VMs spread a further trial, in seconds. By then requests with the part
+/// may wait at all of them.
+const MIN_RETRIAL_SPREAD: f64 = 1.0;
 /// Time after the last end for which a part that is not blocked stays a suspect.
 const SUSPECT_TTL: Span = Span::from_secs(30);
 /// Time after the last end for which a part stays blocked.
@@ -183,7 +184,7 @@
         let steps = u32::from(blocked.len() > 1);
         let waits = blocked.iter().filter_map(|part| {
             let record = self.records.get(&(service.clone(), **part))?;
-            Some(self.next_trial(**part, record, steps) - now)
+            Some(self.next_trial(now, **part, record, steps) - now)
         });
         match waits.max() {
             None => Admission::Free,
@@ -199,7 +200,7 @@
             for part in parts {
                 let record = self.records.get_mut(&(service.clone(), *part));
                 if let Some(record) = record.filter(|r| r.blocked.is_some()) {
-                    record.tried = Some(now);
+                    record.start_trial(now);
                     record.unsent = true;
                     self.notices.push(Notice::new(Change::Tried, (service, *part), record));
                 }
@@ -433,16 +434,21 @@
     }
 
     /// Returns when the next trial of a blocked part may begin here, with the delay of `steps` more
-    /// failures.
-    fn next_trial(&self, part: Part, record: &Record, steps: u32) -> Time {
-        let factor = 10_u64.saturating_pow(record.failures() + steps);
+    /// trials.
+    fn next_trial(&self, now: Time, part: Part, record: &Record, steps: u32) -> Time {
+        let factor = 10_u64.saturating_pow(record.fruitless_trials(now) + steps);
         let delay = Span::from_micros(TRIAL_DELAY.as_micros().saturating_mul(factor));
         let delay = delay.min(MAX_TRIAL_DELAY);
-        let spread = unit_hash(&part.to_string(), self.vm.as_str()) * TRIAL_SPREAD;
-        let delay = delay + Span::from_secs_f64(delay.as_secs_f64() * spread);
+        let spread = delay.as_secs_f64() * TRIAL_SPREAD;
         let since = record.tried.max(record.blocked).unwrap_or_default();
-        let result_due = record.tried.map_or(Time::default(), |tried| tried + TRIAL_TIME);
-        (since + delay).max(result_due)
+        let (earliest, spread) = match record.tried {
+            None => (since + delay, spread),
+            Some(tried) => {
+                ((since + delay).max(tried + TRIAL_TIME), spread.max(MIN_RETRIAL_SPREAD))
+            }
+        };
+        let own = unit_hash(&part.to_string(), self.vm.as_str());
+        earliest + Span::from_secs_f64(spread * own)
     }
 }
 
--- a/crates/poison/src/record.rs
+++ b/crates/poison/src/record.rs
@@ -22,6 +22,8 @@
 /// Time from an end from which an answer shows that the server did not end. Answers that were
 /// received before may be processed later.
 const REFUTATION_DELAY: Span = Span::from_millis(100);
+/// Time after which a trial without a result counts as over.
+pub(crate) const TRIAL_TIME: Span = Span::from_secs(3);
 /// Time from an end until it counts, in which it may be refuted.
 const CONFIRMATION_TIME: Span = Span::from_millis(300);
 
@@ -44,6 +46,8 @@
     pub(crate) blocked: Option<Time>,
     /// When a request was last let through.
     pub(crate) tried: Option<Time>,
+    /// Number of earlier trials of which no result became known.
+    unresolved: u32,
     /// Whether the part was blocked until it was cleared.
     pub(crate) was_blocked: bool,
     /// Whether other VMs have not been told the latest.
@@ -68,6 +72,24 @@
         u32::try_from(confirmed.count()).unwrap_or(u32::MAX)
     }
 
+    /// Records that a request is let through.
+    pub(crate) fn start_trial(&mut self, at: Time) {
+        self.unresolved += u32::from(self.has_open_trial());
+        self.tried = Some(at);
+    }
+
+    /// Returns whether the result of the last trial is not known.
+    fn has_open_trial(&self) -> bool {
+        let is_result = |end: &KnownEnd, tried| end.is_trial && end.at + MAX_SKEW >= tried;
+        self.tried.is_some_and(|tried| !self.ends.iter().any(|end| is_result(end, tried)))
+    }
+
+    /// Returns the number of trials that ended a server or of which no result became known in time.
+    pub(crate) fn fruitless_trials(&self, now: Time) -> u32 {
+        let is_overdue = self.tried.is_some_and(|tried| now >= tried + TRIAL_TIME);
+        self.failures() + self.unresolved + u32::from(is_overdue && self.has_open_trial())
+    }
+
     /// Returns the number of trials that ended a server.
     pub(crate) fn failures(&self) -> u32 {
         let trials = self.real_ends().filter(|end| end.is_trial);
@@ -153,7 +175,7 @@
             self.was_blocked |= self.blocked.is_some();
             self.ends.retain(|end| end.at > at);
             self.cleared = Some(at);
-            (self.blocked, self.tried) = (None, None);
+            (self.blocked, self.tried, self.unresolved) = (None, None, 0);
         }
         is_news
     }
@@ -181,7 +203,7 @@
             && self.tried.is_none_or(|tried| tried + MAX_SKEW < at)
         {
             is_news = true;
-            self.tried = Some(at);
+            self.start_trial(at);
         }
         is_news
     }
--- a/crates/poison/tests/detector.rs
+++ b/crates/poison/tests/detector.rs
@@ -1,6 +1,8 @@
 //! Which parts are blocked, and when requests with them are let through, as data-driven cases over
 //! one or several VMs.
 
+use std::collections::VecDeque;
+
 use model::{Part, ServerId, ServiceName, Time, VmName};
 use poison::{Admission, Detector, Suspect};
 
@@ -479,6 +481,66 @@
     assert_eq!(trials, 1);
 }
 
+#[test]
+fn trials_without_result_are_repeated_less_and_less_often() {
+    let mut vms = detectors(2);
+    for n in 0..3 {
+        apply(&mut vms[0], u64::from(n) * 100, End(&["bad"], n));
+        (0..4).for_each(|_| apply(&mut vms[0], 250, Answer(SOUND)));
+    }
+    let mut trials = Vec::new();
+    for ms in (700..100_000).step_by(50) {
+        exchange(&mut vms, ms);
+        // The server of a trial was cut off, so that nobody knows how it ended.
+        let detector = &mut vms[(ms / 50) as usize % 2];
+        if detector.admit(at(ms), &service(), &parts(&["bad"])) == Admission::Trial {
+            trials.push(ms);
+        }
+    }
+    let gaps: Vec<u64> = trials.windows(2).map(|t| (t[1] - t[0]) / 1_000).collect();
+    assert!(gaps.len() == 2 && gaps[0] >= 3 && gaps[1] >= 20, "{trials:?}");
+}
+
+#[test]
+fn waiting_requests_at_many_vms_try_a_part_one_at_a_time() {
+    // Each VM learns of the others' trials 60 ms later.
+    const DELAY_MS: usize = 60;
+    let mut collisions = 0;
+    for round in 0..20 {
+        let name = format!("bad-{round}");
+        let mut vms = detectors(7);
+        for n in 0..3 {
+            let end = (&server(n), false);
+            vms[0].record_end(at(0), &service(), &parts(&[&name]), end);
+            (0..4).for_each(|_| apply(&mut vms[0], 100, Answer(SOUND)));
+        }
+        exchange(&mut vms, 600);
+        vms[0].admit(at(900), &service(), &parts(&[&name]));
+        vms[0].record_end(at(950), &service(), &parts(&[&name]), (&server(9), true));
+        exchange(&mut vms, 1_000);
+        let mut tried = Vec::new();
+        let mut sent = VecDeque::<Vec<Vec<Suspect>>>::new();
+        for ms in 1_000..6_000 {
+            for detector in &mut vms {
+                if detector.admit(at(ms), &service(), &parts(&[&name])) == Admission::Trial {
+                    tried.push(ms);
+                }
+            }
+            sent.push_back(vms.iter_mut().map(|d| d.suspects(at(ms))).collect());
+            if sent.len() > DELAY_MS {
+                for suspects in sent.pop_front().unwrap() {
+                    for detector in &mut vms {
+                        detector.merge(at(ms), &suspects);
+                    }
+                }
+            }
+        }
+        assert!(!tried.is_empty(), "the part is tried again within 5 s");
+        collisions += tried.len() - 1;
+    }
+    assert!(collisions <= 10, "{collisions} trials too many in 20 rounds");
+}
+
 #[test]
 fn a_part_that_only_came_with_a_bad_one_is_soon_free() {
     // All requests with `rare` had `bad` too, until one without it comes.
