Tell the framing of a response by its encoding and by the body that hyper reads

An answer with a transfer encoding other than chunks, or a redirect with a body, ends with its connection but counted as one whose end is marked, so that it was passed on as complete when its server ended. A response to HEAD has no body, but counted as one that ends with its connection. crates/backend/tests/framing.rs failed before (transfer-encoding: gzip).

--- a/crates/backend/src/exchange.rs
+++ b/crates/backend/src/exchange.rs
@@ -11,7 +11,7 @@
     header::{CONTENT_LENGTH, TRANSFER_ENCODING},
 };
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use tokio::time::timeout;
 
 use crate::{
@@ -53,6 +53,7 @@
 pub struct Exchange {
     status: StatusCode,
     headers: HeaderMap,
+    framing: Framing,
     body: Incoming,
     connection: Option<Connection>,
     address: SocketAddr,
@@ -70,7 +71,17 @@
         client: &Client,
     ) -> Self {
         let (parts, body) = response.into_parts();
+        let has_length = parts.headers.contains_key(CONTENT_LENGTH);
+        let has_encoding = parts.headers.contains_key(TRANSFER_ENCODING);
+        let framing = if is_chunked(&parts.headers) {
+            Framing::Chunks
+        } else if body.is_end_stream() || (has_length && !has_encoding) {
+            Framing::Length
+        } else {
+            Framing::Connection
+        };
         Self {
+            framing,
             status: parts.status,
             headers: parts.headers,
             body,
@@ -120,14 +131,7 @@
     /// Returns how the end of the response is marked.
     #[must_use]
     pub fn framing(&self) -> Framing {
-        let has_body = self.status != StatusCode::NO_CONTENT && !self.status.is_redirection();
-        if self.headers.contains_key(TRANSFER_ENCODING) {
-            Framing::Chunks
-        } else if !has_body || self.headers.contains_key(CONTENT_LENGTH) {
-            Framing::Length
-        } else {
-            Framing::Connection
-        }
+        self.framing
     }
 
     /// Returns whether the response ends with its connection; see [`Framing::Connection`].
@@ -238,6 +242,13 @@
     }
 }
 
+/// Returns whether the last encoding for the transfer of the body is that in chunks.
+fn is_chunked(headers: &HeaderMap) -> bool {
+    let encodings = headers.get_all(TRANSFER_ENCODING).iter().next_back();
+    let last = encodings.and_then(|value| value.to_str().ok()?.rsplit(',').next());
+    last.is_some_and(|last| last.trim().eq_ignore_ascii_case("chunked"))
+}
+
 fn too_long(max: u64) -> Failure {
     Failure::Broken { why: format!("longer than {max} bytes") }
 }
