--- a/crates/backend/tests/framing.rs
+++ b/crates/backend/tests/framing.rs
@@ -16,7 +16,7 @@
     let address = listener.local_addr().unwrap();
     tokio::spawn(async move {
         let (mut stream, _) = listener.accept().await.unwrap();
-        stream.read(&mut [0; 4_096]).await.unwrap();
+        assert!(stream.read(&mut [0; 4_096]).await.unwrap() > 0);
         let listener = goes_on.then_some(listener);
         stream.write_all(response.as_bytes()).await.unwrap();
         drop(stream);
