Do not take an empty answer with a length for the rest of a stream

Callers got a resumed stream framed as complete after its first events when the next server answered with 200 and Content-Length: 0. Only an empty rest that ended with its connection was refused. A server that goes on with a stream sends it as it arises and does not know its length; one that has nothing to add ends its chunks. a_resumed_stream_gets_nothing_of_an_answer_that_is_no_continuation failed before with this answer (framed as complete after event 1 of 3) and passes. A caller's own resume still gets such an answer, which is the server's own, whole.

--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -8,7 +8,7 @@
     time::{Duration, Instant},
 };
 
-use backend::{Exchange, Failure, PROOF_TIME};
+use backend::{Exchange, Failure, Framing, PROOF_TIME};
 use bytes::Bytes;
 use futures_util::StreamExt;
 use http::{Response, StatusCode, header::CONTENT_TYPE};
@@ -130,15 +130,22 @@
         self.first.map_or(Duration::ZERO, |first| elapsed.saturating_sub(Duration::from(first)))
     }
 
-    /// Returns why a stream that has ended here is not complete, if its bytes show that.
+    /// Returns why a stream that has ended here is not complete, if its bytes show that. A server that
+    /// goes on with a stream does not know its length, so an empty rest with a length is none.
     fn early_end(&self) -> Option<&'static str> {
-        let has_no_event = self.events.count() == self.earlier;
         if self.events.is_inside_event() {
-            Some("the stream ended inside an event")
-        } else if has_no_event && self.response.exchange.ends_with_connection() {
-            Some("the connection ended before the first new event")
-        } else {
-            None
+            return Some("the stream ended inside an event");
+        }
+        if self.events.count() > self.earlier {
+            return None;
+        }
+        let is_resumed = self.earlier > 0;
+        match self.response.exchange.framing() {
+            Framing::Connection => Some("the connection ended before the first new event"),
+            Framing::Length if is_resumed => {
+                Some("the rest of the stream has a length and is empty")
+            }
+            Framing::Length | Framing::Chunks => None,
         }
     }
 
