Put no event without id into a resumed stream

Callers got an error in the middle of their stream, and the stream ended as complete, when the next server answered a resume with 200 and an error as an event (data: error): events without id were passed on from any server. An id tells the place of an event; without one, an event of another server may be a repetition or no event of the stream at all. Such a rest is now broken off. Comments, by which servers keep a connection open, are passed on, and no longer count as events: a rest that had only a comment and ended with its connection was complete. a_resumed_stream_gets_no_events_whose_place_is_unknown failed before (data: error after event 1, framed as complete), and a_resumed_stream_that_ends_before_its_first_new_event_does_not_look_complete with a comment while comments count.

--- a/crates/relay/src/events.rs
+++ b/crates/relay/src/events.rs
@@ -20,6 +20,8 @@
         /// Id of the first event after the gap.
         next: u64,
     },
+    /// An event of a resumed stream has no id, so that its place is unknown.
+    NoId,
     /// No new event ended within 256 KiB.
     TooLong,
 }
@@ -28,6 +30,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Gap { last, next } => write!(f, "event {next} after {last}"),
+            Self::NoId => f.write_str("an event without id in a resumed stream"),
             Self::TooLong => write!(f, "no whole event within {MAX_PENDING} bytes"),
         }
     }
@@ -43,7 +46,7 @@
 /// ```
 /// let mut events = relay::EventSplitter::default();
 /// assert_eq!(events.push(b"id: 1\ndata: a\n\nid: 2\nda").unwrap(), "id: 1\ndata: a\n\n");
-/// events.discard_partial();
+/// events.resume();
 /// let rest = events.push(b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n").unwrap();
 /// assert_eq!(rest, "id: 2\ndata: b\n\n");
 /// assert_eq!(events.last(), Some(2));
@@ -60,6 +63,8 @@
     repeated: usize,
     last: Option<u64>,
     count: u32,
+    /// Whether the events come from another server than the first ones.
+    is_resumed: bool,
 }
 
 impl EventSplitter {
@@ -76,7 +81,13 @@
         self.last
     }
 
-    /// Returns the number of whole events that were returned.
+    /// Returns whether the events come from another server than the first ones.
+    #[must_use]
+    pub fn is_resumed(&self) -> bool {
+        self.is_resumed
+    }
+
+    /// Returns the number of whole events that were returned. A comment is none.
     #[must_use]
     pub fn count(&self) -> u32 {
         self.count
@@ -88,7 +99,8 @@
     /// # Errors
     ///
     /// Returns an error if events are missing, because the id of an event is greater than the
-    /// successor of the last one, or if an event is too long or too many are repeated.
+    /// successor of the last one, if an event of a resumed stream has no id, or if an event is too
+    /// long or too many are repeated.
     pub fn push(&mut self, bytes: &[u8]) -> Result<Bytes, EventError> {
         self.partial.extend_from_slice(bytes);
         let mut whole = BytesMut::new();
@@ -132,15 +144,21 @@
                 Some(last) if next > last + 1 => return Err(EventError::Gap { last, next }),
                 _ => self.last = Some(next),
             }
+        } else if is_comment(event) {
+            return Ok(true);
+        } else if self.is_resumed {
+            return Err(EventError::NoId);
         }
         self.count += 1;
         Ok(true)
     }
 
-    /// Discards the incomplete event at the end of a stream that broke off.
-    pub fn discard_partial(&mut self) {
+    /// Continues with the events of another server, after a stream that broke off. An incomplete
+    /// event at its end is discarded.
+    pub fn resume(&mut self) {
         self.partial.clear();
         (self.line_start, self.searched) = (0, 0);
+        self.is_resumed = true;
     }
 
     /// Returns whether bytes follow the last whole event, so that a stream that ends here was broken
@@ -151,6 +169,12 @@
     }
 }
 
+/// Returns whether all lines of an event are comments, with which servers keep a connection open.
+fn is_comment(event: &[u8]) -> bool {
+    let mut lines = event.split(|b| *b == b'\n');
+    lines.all(|line| line.is_empty() || line == b"\r" || line.starts_with(b":"))
+}
+
 fn event_id(event: &[u8]) -> Option<u64> {
     let text = std::str::from_utf8(event).ok()?;
     let id = text.lines().find_map(|line| line.strip_prefix("id:"))?;
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -139,10 +139,9 @@
         if self.events.count() > self.earlier {
             return None;
         }
-        let is_resumed = self.earlier > 0;
         match self.response.exchange.framing() {
             Framing::Connection => Some("the connection ended before the first new event"),
-            Framing::Length if is_resumed => {
+            Framing::Length if self.events.is_resumed() => {
                 Some("the rest of the stream has a length and is empty")
             }
             Framing::Length | Framing::Chunks => None,
@@ -290,7 +289,7 @@
     /// Resumes a stream at another server, after the last whole event.
     async fn resume(&mut self, stream: StreamState) -> Option<StreamState> {
         let StreamState { mut events, response, times, .. } = stream;
-        events.discard_partial();
+        events.resume();
         let StartedResponse { submission, server, exchange: before, .. } = response;
         let kind = StreamKind::of(&before);
         // The server stops working on a stream whose connection is closed.
