Withhold requests from a server that said that it leaves as long as it is listed

A server that had said that it leaves and was still there after ten minutes got requests again, although a leaving server gets no new work; a VM that had passed on its answers is bound by them without a limit of time. The limit was there for memory. A server is now forgotten once it has not been listed for ten minutes, so that a VM that is cut off from the registry for some minutes still knows it, or when a later process under its id is listed. a_server_that_leaves_is_withheld_as_long_as_it_is_there failed before (free after 11 min, still listed).

--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -99,7 +99,7 @@
     /// Checks that the server did not end together with a response that ends with its connection. A
     /// server that leaves may refuse connections before it has sent its last responses.
     pub(crate) async fn confirm_end(&self, frontend: &Frontend) -> Result<(), Failure> {
-        if frontend.restraints().is_leaving(clock::since_boot(), &self.server) {
+        if frontend.restraints().is_leaving(&self.server) {
             return Ok(());
         }
         self.exchange.confirm_end().await
--- a/crates/relay/src/restraint.rs
+++ b/crates/relay/src/restraint.rs
@@ -8,9 +8,9 @@
 use keeper::{Phase, Server};
 use model::{ServerId, ServiceName, Span, Time};
 
-/// Time for which requests are withheld from a server that said that it leaves. It is much longer
-/// than servers take to leave.
-const LEAVING_TIME: Span = Span::from_secs(600);
+/// Time for which a server that said that it leaves is remembered while it is not listed. It is much
+/// longer than VMs are cut off from the registry and than servers take to leave.
+const UNLISTED_TIME: Span = Span::from_secs(600);
 
 /// What a server said in an answer about further requests.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -35,13 +35,20 @@
     service: ServiceName,
     /// Start time of the process that said it. `None` until a server with its id is listed.
     born: Option<u64>,
-    leaving_until: Time,
+    is_leaving: bool,
     paused_until: Time,
+    /// Since when no server with its id is listed. `None` while one is.
+    unlisted: Option<Time>,
 }
 
 impl Restraint {
     fn is_in_force(&self, now: Time) -> bool {
-        now < self.leaving_until.max(self.paused_until)
+        self.is_leaving || now < self.paused_until
+    }
+
+    fn is_needed(&self, now: Time) -> bool {
+        let may_be_there = self.unlisted.is_none_or(|since| now < since + UNLISTED_TIME);
+        now < self.paused_until || (self.is_leaving && may_be_there)
     }
 }
 
@@ -86,13 +93,12 @@
         let restraint = self.said.entry(id.clone()).or_insert_with(|| Restraint {
             service: service.clone(),
             born,
-            leaving_until: now,
+            is_leaving: false,
             paused_until: now,
+            unlisted: born.is_none().then_some(now),
         });
         let was_in_force = restraint.is_in_force(now);
-        if notice.leaving {
-            restraint.leaving_until = now + LEAVING_TIME;
-        }
+        restraint.is_leaving |= notice.leaving;
         if let Some(pause) = notice.pause {
             restraint.paused_until = restraint.paused_until.max(now + pause);
         }
@@ -103,11 +109,14 @@
     /// something has said nothing yet.
     pub fn set_servers<'a>(&mut self, now: Time, servers: impl Iterator<Item = &'a Server>) {
         self.listed = servers.map(|s| (s.id.clone(), (s.born, s.phase))).collect();
-        self.said.retain(|id, restraint| match self.listed.get(id) {
-            Some((born, _)) => *born <= *restraint.born.get_or_insert(*born),
-            None => true,
+        self.said.retain(|id, restraint| {
+            let Some((born, _)) = self.listed.get(id) else {
+                restraint.unlisted.get_or_insert(now);
+                return restraint.is_needed(now);
+            };
+            restraint.unlisted = None;
+            *born <= *restraint.born.get_or_insert(*born) && restraint.is_needed(now)
         });
-        self.said.retain(|_, restraint| restraint.is_in_force(now));
     }
 
     /// Returns the servers of a service to which nothing is to be sent now.
@@ -121,14 +130,14 @@
     #[must_use]
     pub fn cause(&self, now: Time, id: &ServerId) -> Option<Cause> {
         let restraint = self.said.get(id).filter(|r| r.is_in_force(now))?;
-        let is_leaving = now < restraint.leaving_until;
-        Some(if is_leaving { Cause::Leaving } else { Cause::Pause(restraint.paused_until - now) })
+        let pause = || Cause::Pause(restraint.paused_until - now);
+        Some(if restraint.is_leaving { Cause::Leaving } else { pause() })
     }
 
     /// Returns whether a server said that it leaves, or the registry says so.
     #[must_use]
-    pub fn is_leaving(&self, now: Time, id: &ServerId) -> bool {
+    pub fn is_leaving(&self, id: &ServerId) -> bool {
         let is_listed = self.listed.get(id).is_some_and(|(_, phase)| *phase != Phase::Serving);
-        is_listed || self.said.get(id).is_some_and(|restraint| now < restraint.leaving_until)
+        is_listed || self.said.get(id).is_some_and(|restraint| restraint.is_leaving)
     }
 }
--- a/crates/relay/tests/restraint.rs
+++ b/crates/relay/tests/restraint.rs
@@ -110,10 +110,24 @@
     apply(&mut restraints, 0, List(&[(1, 5, Serving), (2, 5, Draining), (3, 5, Gone)]));
     apply(&mut restraints, 10, Leaving(4));
     apply(&mut restraints, 10, Pause(5, 60_000));
-    let leaving = (1..=6).filter(|n| restraints.is_leaving(at(20), &server(*n)));
+    let leaving = (1..=6).filter(|n| restraints.is_leaving(&server(*n)));
     assert_eq!(leaving.collect::<Vec<_>>(), [2, 3, 4]);
 }
 
+#[test]
+fn a_server_that_leaves_is_withheld_as_long_as_it_is_there() {
+    let mut restraints = Restraints::default();
+    apply(&mut restraints, 0, List(&[(1, 5, Serving)]));
+    apply(&mut restraints, 10, Leaving(1));
+    for minute in 1..120 {
+        let now = minute * 60_000;
+        // For some minutes, no control VM lists it.
+        let servers: &[_] = if minute % 20 < 5 { &[] } else { &[(1, 5, Serving)] };
+        apply(&mut restraints, now, List(servers));
+        assert!(restraints.cause(at(now), &server(1)).is_some(), "after {minute} min");
+    }
+}
+
 #[test]
 fn servers_that_are_forgotten_use_no_memory() {
     let mut restraints = Restraints::default();
@@ -123,7 +137,7 @@
     }
     apply(&mut restraints, 200, List(&[]));
     assert_eq!(restraints.withheld(at(200), &service("desk")).len(), 1_000);
-    apply(&mut restraints, 600_000, List(&[]));
-    assert!(restraints.withheld(at(600_000), &service("desk")).is_empty());
+    apply(&mut restraints, 600_200, List(&[]));
+    assert!(restraints.withheld(at(600_200), &service("desk")).is_empty());
     assert!(!format!("{restraints:?}").contains("i-"), "nothing is kept");
 }
