--- a/crates/backend/src/client.rs
+++ b/crates/backend/src/client.rs
@@ -132,9 +132,7 @@
             });
         }
     }
-}
 
-impl IdlePool {
     /// Adds a connection once it is ready for a request.
     pub(crate) async fn release(
         self,
