Suspect a request also if servers end late in its answers

A request that ends its server after most of its answer was never found: an answer that goes on for 0.3 s cleared all parts of the request, and an end after that was not counted. That an answer goes on shows that the parts which it shares with others are sound, but of the request itself only a complete answer does. An end after 0.3 s now counts for the request's own part alone, and only a complete answer clears that part. Both kinds of node.

--- a/crates/entry/src/chat.rs
+++ b/crates/entry/src/chat.rs
@@ -109,7 +109,7 @@
     match result {
         Ok(body) => {
             if !running.exchange.ends_with_connection() {
-                running.suspicion.answer_went_on();
+                running.suspicion.answer_completed();
             }
             let total = running.sent.elapsed();
             let tokens = completion_tokens(&body);
@@ -230,7 +230,7 @@
     /// because callers may close the connection once they have received the marker.
     fn complete(&mut self) {
         self.complete = true;
-        self.running.suspicion.answer_went_on();
+        self.running.suspicion.answer_completed();
         let total = self.running.sent.elapsed();
         let first = self.first_event.unwrap_or(total);
         self.running.submission.finish(done(first, total, self.reader.events()));
--- a/crates/entry/src/suspicion.rs
+++ b/crates/entry/src/suspicion.rs
@@ -15,14 +15,25 @@
     parts: Vec<Part>,
     server: Option<ServerId>,
     is_trial: bool,
+    /// Whether the answer went on for a while.
+    went_on: bool,
     /// Whether the result is known.
     settled: bool,
 }
 
 impl Suspicion {
+    /// Creates the suspicion of a request. The last part is its own, which only its repetitions have.
     pub(crate) fn new(detector: &SharedDetector, service: ServiceName, parts: Vec<Part>) -> Self {
         let detector = Arc::clone(detector);
-        Self { detector, service, parts, server: None, is_trial: false, settled: false }
+        Self {
+            detector,
+            service,
+            parts,
+            server: None,
+            is_trial: false,
+            went_on: false,
+            settled: false,
+        }
     }
 
     /// Returns the detector. It stays consistent when a handler panics.
@@ -46,25 +57,44 @@
         }
     }
 
-    /// Records that the answer went on for a while or is complete.
+    /// Records that the answer went on for a while. That clears the parts that the request shares
+    /// with others.
     pub(crate) fn answer_went_on(&mut self) {
-        if !std::mem::replace(&mut self.settled, true) {
+        if !self.settled && !std::mem::replace(&mut self.went_on, true) {
+            let shared = self.parts.split_last().map_or(&[][..], |(_, shared)| shared);
             let mut detector = self.lock();
             if let Some(server) = &self.server {
                 detector.record_alive(clock::since_boot(), &self.service, server);
             }
-            detector.record_answer(clock::since_boot(), &self.service, &self.parts);
+            detector.record_answer(clock::since_boot(), &self.service, shared);
             log_notices(detector.take_notices());
         }
     }
 
-    /// Records that the server ended, unless its answer had gone on for a while.
+    /// Records that the answer is complete.
+    pub(crate) fn answer_completed(&mut self) {
+        self.answer_went_on();
+        if !std::mem::replace(&mut self.settled, true)
+            && let Some(own) = self.parts.last()
+        {
+            let mut detector = self.lock();
+            detector.record_complete(clock::since_boot(), &self.service, *own);
+            log_notices(detector.take_notices());
+        }
+    }
+
+    /// Records that the server ended, unless the answer is complete.
     pub(crate) fn server_ended(&mut self) {
         if !std::mem::replace(&mut self.settled, true)
             && let Some(server) = self.server.clone()
         {
-            let end = (&server, self.is_trial);
-            self.lock().record_end(clock::since_boot(), &self.service, &self.parts, end);
+            let (now, end) = (clock::since_boot(), (&server, self.is_trial));
+            match self.parts.last() {
+                Some(own) if self.went_on => {
+                    self.lock().record_late_end(now, &self.service, *own, end);
+                }
+                _ => self.lock().record_end(now, &self.service, &self.parts, end),
+            }
         }
     }
 }
--- a/crates/poison/src/detector.rs
+++ b/crates/poison/src/detector.rs
@@ -215,10 +215,19 @@
         admission
     }
 
-    /// Records that the answer to a request went on for a while or was complete, so its parts did
-    /// not end the server.
+    /// Records that the answer to a request went on for a while, so that these parts of it did not
+    /// end the server.
     pub fn record_answer(&mut self, now: Time, service: &ServiceName, parts: &[Part]) {
         self.service(service).answers += 1;
+        self.clear(now, service, parts);
+    }
+
+    /// Records that the answer to a request with this part of its own was complete.
+    pub fn record_complete(&mut self, now: Time, service: &ServiceName, own: Part) {
+        self.clear(now, service, &[own]);
+    }
+
+    fn clear(&mut self, now: Time, service: &ServiceName, parts: &[Part]) {
         if self.records.is_empty() {
             return;
         }
@@ -266,6 +275,19 @@
         self.add_ends(now, service, parts, (server, is_trial));
     }
 
+    /// Records that a server ended after its answer to a request with this part of its own had gone
+    /// on for a while. `is_trial` is that of [`record_end`](Self::record_end).
+    pub fn record_late_end(
+        &mut self,
+        now: Time,
+        service: &ServiceName,
+        own: Part,
+        (server, is_trial): (&ServerId, bool),
+    ) {
+        self.confirm(now, service, (server, SAME_MOMENT));
+        self.add_ends(now, service, &[own], (server, is_trial));
+    }
+
     fn add_ends(
         &mut self,
         now: Time,
--- a/crates/poison/tests/detector.rs
+++ b/crates/poison/tests/detector.rs
@@ -299,6 +299,30 @@
     assert!(!is_refused(&mut vms[0], 20_000, SOUND));
 }
 
+#[test]
+fn a_request_is_blocked_if_servers_end_late_in_its_answers() {
+    // Whether the third answer ends its server or is complete, and whether the request is refused.
+    for (is_complete, is_refused) in [(false, true), (true, false)] {
+        let mut detector = detectors(1).remove(0);
+        for n in 0..3 {
+            let ms = 1_000 * u64::from(n);
+            apply(&mut detector, ms, Answer(SOUND));
+            apply(&mut detector, ms + 100, Answer(OTHER));
+            if n == 2 && is_complete {
+                detector.record_complete(at(ms + 600), &service(), Part::from("own"));
+            } else {
+                let end = (&server(n), false);
+                detector.record_late_end(at(ms + 600), &service(), Part::from("own"), end);
+            }
+        }
+        let admission = detector.check(at(3_000), &service(), &parts(&["first", "shared", "own"]));
+        assert_eq!(matches!(admission, Admission::Refused { .. }), is_refused, "{admission:?}");
+        // The parts that it shares with others are not suspected.
+        let admission = detector.check(at(3_000), &service(), &parts(&["first", "shared", "x"]));
+        assert_eq!(admission, Admission::Free);
+    }
+}
+
 #[test]
 fn a_popular_request_is_soon_free_after_a_rack_ended_under_it() {
     // Time of the first answer to it on other servers, and time from which it is free.
--- a/crates/poison/tests/storm.rs
+++ b/crates/poison/tests/storm.rs
@@ -20,7 +20,7 @@
 const KNOWN: u64 = 5_000;
 const END: u64 = 9_000;
 
-/// Parts of the requests of each caller. Those with `bad` end servers.
+/// Parts of the requests of each caller, of which the last is the request's own. Those with `bad` end servers.
 const SOUND: [&[&str]; 9] = [
     &["f0", "aa", "resume-x"],
     &["f0", "aa", "resume-x"],
@@ -61,6 +61,12 @@
     next: u64,
 }
 
+impl Caller {
+    fn own(&self) -> Part {
+        *self.parts.last().unwrap()
+    }
+}
+
 struct Storm {
     vms: Vec<Detector>,
     callers: Vec<Caller>,
@@ -138,9 +144,11 @@
         let id = self.id(server);
         for caller in &mut self.callers {
             let Some(running) = caller.running.filter(|r| r.server == server) else { continue };
-            if !running.is_proven {
-                let end = (&id, running.is_trial);
-                self.vms[caller.vm].record_end(at(ms), &service(), &caller.parts, end);
+            let (vm, end) = (&mut self.vms[caller.vm], (&id, running.is_trial));
+            if running.is_proven {
+                vm.record_late_end(at(ms), &service(), caller.own(), end);
+            } else {
+                vm.record_end(at(ms), &service(), &caller.parts, end);
             }
             caller.running = None;
             caller.next = ms + if caller.is_bad { BAD_PAUSE } else { SOUND_PAUSE };
@@ -161,11 +169,14 @@
                         let Caller { parts, vm, running, .. } = &mut self.callers[n];
                         *running = Some(Running { is_proven: true, ..r });
                         self.vms[*vm].record_alive(at(ms), &service(), &id);
-                        self.vms[*vm].record_answer(at(ms), &service(), parts);
+                        let shared = &parts[..parts.len() - 1];
+                        self.vms[*vm].record_answer(at(ms), &service(), shared);
                     }
                     Some(r) if ms >= r.sent + DONE_AFTER => {
-                        self.callers[n].running = None;
-                        self.callers[n].next = ms + SOUND_PAUSE;
+                        let Caller { vm, running, next, .. } = &mut self.callers[n];
+                        (*running, *next) = (None, ms + SOUND_PAUSE);
+                        let vm = *vm;
+                        self.vms[vm].record_complete(at(ms), &service(), self.callers[n].own());
                     }
                     _ => {}
                 }
--- a/crates/relay/src/event_loop.rs
+++ b/crates/relay/src/event_loop.rs
@@ -45,6 +45,7 @@
     Finish(ServiceName, RequestId, Outcome),
     Withdraw(ServiceName, RequestId),
     AnswerWentOn(RequestId),
+    AnswerCompleted(RequestId),
     ServerEnded(RequestId, ServerId),
     AnswerEndedEarly(RequestId, ServerId),
     Plan(Arc<Plan>),
@@ -161,12 +162,17 @@
         self.handle.send(Command::ReportLimit(self.service.clone(), server.clone(), limit));
     }
 
-    /// Reports that the answer went on for a while or is complete.
+    /// Reports that the answer went on for a while.
     pub(crate) fn answer_went_on(&self) {
         self.handle.send(Command::AnswerWentOn(self.request));
     }
 
-    /// Reports that the server ended before its answer had gone on for a while.
+    /// Reports that the answer is complete.
+    pub(crate) fn answer_completed(&self) {
+        self.handle.send(Command::AnswerCompleted(self.request));
+    }
+
+    /// Reports that the server ended before its answer was complete.
     pub(crate) fn server_ended(&self, server: &ServerId) {
         self.handle.send(Command::ServerEnded(self.request, server.clone()));
     }
@@ -351,6 +357,7 @@
                 self.scheduler.withdraw(now, &service, request, &mut self.out);
             }
             Command::AnswerWentOn(request) => self.scheduler.answer_went_on(now, request),
+            Command::AnswerCompleted(request) => self.scheduler.answer_completed(now, request),
             Command::ServerEnded(request, server) => {
                 self.scheduler.server_ended(now, request, &server);
             }
--- a/crates/relay/src/scheduler.rs
+++ b/crates/relay/src/scheduler.rs
@@ -60,7 +60,8 @@
     /// Whether the request may have reached a server before, so that it counts against the retry
     /// budget.
     pub is_retry: bool,
-    /// Parts of the request that other requests may have too.
+    /// Parts of the request that other requests may have too. The last one is its own, which only its
+    /// repetitions have.
     pub parts: Arc<[Part]>,
 }
 
@@ -109,6 +110,8 @@
     server: Option<ServerId>,
     /// Whether it was let through to try a blocked part.
     is_trial: bool,
+    /// Whether its answer went on for a while.
+    went_on: bool,
 }
 
 /// Admits the requests of one entry VM and places them on backend servers, for all services.
@@ -242,7 +245,8 @@
             self.budgets.record_first(now, &ticket.service);
         }
         let service = ticket.service.clone();
-        self.open.insert(request, OpenRequest { service, parts, server: None, is_trial: false });
+        let open = OpenRequest { service, parts, server: None, is_trial: false, went_on: false };
+        self.open.insert(request, open);
         let owner = self.vm.clone();
         let offer = Offer { ticket, owner, urgent: true, avoid, late: Some(late) };
         self.region.submit(now, offer);
@@ -269,11 +273,24 @@
         self.collect_decisions(now, out);
     }
 
-    /// Records that the answer to a granted request went on for a while or is complete.
+    /// Records that the answer to a granted request went on for a while. That clears the parts that
+    /// it shares with others.
     pub fn answer_went_on(&mut self, now: Time, request: RequestId) {
         self.record_alive(now, request);
-        if let Some(OpenRequest { service, parts, .. }) = self.open.get(&request) {
-            self.detector.record_answer(now, service, parts);
+        if let Some(open) = self.open.get_mut(&request).filter(|open| !open.went_on) {
+            open.went_on = true;
+            let shared = open.parts.split_last().map_or(&[][..], |(_, shared)| shared);
+            self.detector.record_answer(now, &open.service, shared);
+        }
+    }
+
+    /// Records that the answer to a granted request is complete.
+    pub fn answer_completed(&mut self, now: Time, request: RequestId) {
+        self.answer_went_on(now, request);
+        if let Some(OpenRequest { service, parts, .. }) = self.open.get(&request)
+            && let Some(own) = parts.last()
+        {
+            self.detector.record_complete(now, service, *own);
         }
     }
 
@@ -283,10 +300,17 @@
         }
     }
 
-    /// Records that the server of a granted request ended before its answer had gone on for a while.
+    /// Records that the server of a granted request ended before its answer was complete.
     pub fn server_ended(&mut self, now: Time, request: RequestId, server: &ServerId) {
-        if let Some(OpenRequest { service, parts, is_trial, .. }) = self.open.get(&request) {
-            self.detector.record_end(now, service, parts, (server, *is_trial));
+        let Some(OpenRequest { service, parts, is_trial, went_on, .. }) = self.open.get(&request)
+        else {
+            return;
+        };
+        match parts.last() {
+            Some(own) if *went_on => {
+                self.detector.record_late_end(now, service, *own, (server, *is_trial));
+            }
+            _ => self.detector.record_end(now, service, parts, (server, *is_trial)),
         }
     }
 
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -148,11 +148,8 @@
         }
     }
 
-    /// Records that the server stopped, unless its answer had gone on for a while.
     fn record_server_end(&self) {
-        if !self.went_on {
-            self.response.submission.server_ended(&self.response.server);
-        }
+        self.response.submission.server_ended(&self.response.server);
     }
 
     fn record_proof(&mut self) {
@@ -160,11 +157,11 @@
         self.response.submission.answer_went_on();
     }
 
-    fn finish(mut self) -> (ServerId, Exchange) {
+    fn finish(self) -> (ServerId, Exchange) {
         if !self.went_on && self.response.exchange.ends_with_connection() {
             self.response.submission.answer_ended_early(&self.response.server);
-        } else if !self.went_on {
-            self.record_proof();
+        } else {
+            self.response.submission.answer_completed();
         }
         let total = Span::from(self.response.sent.elapsed());
         let first = self.first.unwrap_or(total);
--- a/crates/relay/tests/blocked.rs
+++ b/crates/relay/tests/blocked.rs
@@ -75,7 +75,9 @@
         self.call(|s, out| s.tick(at(ms), out));
     }
 
-    fn submit(&mut self, ms: u64, request: u128, parts: &[&str]) {
+    /// Submits a request with these parts and one of its own.
+    fn submit(&mut self, ms: u64, request: u128, shared: &[&str]) {
+        let own = Part::from(format!("own-{request}").as_str());
         let ticket = Ticket {
             request: RequestId::from(request),
             account: "north".try_into().unwrap(),
@@ -94,7 +96,7 @@
             late: LateLimits { wait, whole: wait, pause: Span::ZERO },
             charge: None,
             is_retry: false,
-            parts: parts.iter().map(|name| Part::from(*name)).collect(),
+            parts: shared.iter().map(|name| Part::from(*name)).chain([own]).collect(),
         };
         self.call(|s, out| s.submit(at(ms), placement, out));
     }
@@ -115,7 +117,7 @@
 
     /// Lets a request be answered.
     fn answer(&mut self, ms: u64, request: u128) {
-        self.scheduler.answer_went_on(at(ms), RequestId::from(request));
+        self.scheduler.answer_completed(at(ms), RequestId::from(request));
         self.finish(ms, request, Outcome::Cancelled);
     }
 
