Take a request for sound once its answer has gone on for three seconds

The longer an answer takes, the likelier its server ends meanwhile for another reason, so an answer that has gone on for 3 s now clears the request's own part as a complete one does, and later ends do not count. the_end_of_a_server_late_in_an_answer_counts_until_the_request_is_known_to_be_sound; the wire test of requests that end servers in the middle of their answer still passes.

--- a/crates/backend/src/lib.rs
+++ b/crates/backend/src/lib.rs
@@ -17,5 +17,5 @@
     client::{Client, REQUEST_ID, Timeouts},
     exchange::{Exchange, Framing},
     failure::Failure,
-    stream::{PROOF_TIME, StreamReader, StreamState},
+    stream::{PROOF_TIME, SOUND_TIME, StreamReader, StreamState},
 };
--- a/crates/backend/src/stream.rs
+++ b/crates/backend/src/stream.rs
@@ -17,9 +17,12 @@
     Invalid,
 }
 
-/// Time for which the events of an answer must have been arriving to show that the request does not
-/// end its server. A server that ends by a request does so when it begins to write its answer.
+/// Time for which the events of an answer must have been arriving to show that what the request has
+/// in common with others does not end its server.
 pub const PROOF_TIME: Duration = Duration::from_millis(300);
+/// The same for the request as a whole. The longer an answer takes, the likelier its server ends
+/// meanwhile for another reason.
+pub const SOUND_TIME: Duration = Duration::from_secs(3);
 
 /// Data of the event that ends a chat-completion stream.
 const END_MARKER: &[u8] = b"[DONE]";
--- a/crates/entry/src/chat.rs
+++ b/crates/entry/src/chat.rs
@@ -6,7 +6,7 @@
 
 use std::{io, time::Duration};
 
-use backend::{Failure, PROOF_TIME, StreamReader, StreamState};
+use backend::{Failure, PROOF_TIME, SOUND_TIME, StreamReader, StreamState};
 use bytes::Bytes;
 use futures_util::stream;
 use gotham::helpers::http::Body;
@@ -109,7 +109,7 @@
     match result {
         Ok(body) => {
             if !running.exchange.ends_with_connection() {
-                running.suspicion.answer_completed();
+                running.suspicion.proved_sound();
             }
             let total = running.sent.elapsed();
             let tokens = completion_tokens(&body);
@@ -218,7 +218,9 @@
         }
         let since_first =
             self.first_event.map(|first| self.running.sent.elapsed().saturating_sub(first));
-        if since_first.is_some_and(|time| time >= PROOF_TIME) {
+        if since_first.is_some_and(|time| time >= SOUND_TIME) {
+            self.running.suspicion.proved_sound();
+        } else if since_first.is_some_and(|time| time >= PROOF_TIME) {
             self.running.suspicion.answer_went_on();
         }
         if self.reader.state() == StreamState::Complete && !self.complete {
@@ -230,7 +232,7 @@
     /// because callers may close the connection once they have received the marker.
     fn complete(&mut self) {
         self.complete = true;
-        self.running.suspicion.answer_completed();
+        self.running.suspicion.proved_sound();
         let total = self.running.sent.elapsed();
         let first = self.first_event.unwrap_or(total);
         self.running.submission.finish(done(first, total, self.reader.events()));
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -109,7 +109,7 @@
         }
     };
     if !running.exchange.ends_with_connection() {
-        running.suspicion.answer_completed();
+        running.suspicion.proved_sound();
     }
     let total = running.sent.elapsed();
     running.submission.finish(done(total, total, 0));
@@ -155,7 +155,7 @@
     fn complete(&mut self) {
         self.ended = true;
         if !self.running.exchange.ends_with_connection() {
-            self.running.suspicion.answer_completed();
+            self.running.suspicion.proved_sound();
         }
         let total = self.running.sent.elapsed();
         let first = self.first_byte.unwrap_or(total);
--- a/crates/entry/src/suspicion.rs
+++ b/crates/entry/src/suspicion.rs
@@ -71,19 +71,19 @@
         }
     }
 
-    /// Records that the answer is complete.
-    pub(crate) fn answer_completed(&mut self) {
+    /// Records that the answer is complete, or went on for so long that the request counts as sound.
+    pub(crate) fn proved_sound(&mut self) {
         self.answer_went_on();
         if !std::mem::replace(&mut self.settled, true)
             && let Some(own) = self.parts.last()
         {
             let mut detector = self.lock();
-            detector.record_complete(clock::since_boot(), &self.service, *own);
+            detector.record_sound(clock::since_boot(), &self.service, *own);
             log_notices(detector.take_notices());
         }
     }
 
-    /// Records that the server ended, unless the answer is complete.
+    /// Records that the server ended, unless the request is known to be sound.
     pub(crate) fn server_ended(&mut self) {
         if !std::mem::replace(&mut self.settled, true)
             && let Some(server) = self.server.clone()
--- a/crates/poison/src/detector.rs
+++ b/crates/poison/src/detector.rs
@@ -222,8 +222,9 @@
         self.clear(now, service, parts);
     }
 
-    /// Records that the answer to a request with this part of its own was complete.
-    pub fn record_complete(&mut self, now: Time, service: &ServiceName, own: Part) {
+    /// Records that a request with this part of its own is sound: its answer was complete, or went on
+    /// for so long that it would have ended its server.
+    pub fn record_sound(&mut self, now: Time, service: &ServiceName, own: Part) {
         self.clear(now, service, &[own]);
     }
 
@@ -276,7 +277,7 @@
     }
 
     /// Records that a server ended after its answer to a request with this part of its own had gone
-    /// on for a while. `is_trial` is that of [`record_end`](Self::record_end).
+    /// on for a while, and before the request was known to be sound. `is_trial` is that of [`record_end`](Self::record_end).
     pub fn record_late_end(
         &mut self,
         now: Time,
--- a/crates/relay/src/event_loop.rs
+++ b/crates/relay/src/event_loop.rs
@@ -45,7 +45,7 @@
     Finish(ServiceName, RequestId, Outcome),
     Withdraw(ServiceName, RequestId),
     AnswerWentOn(RequestId),
-    AnswerCompleted(RequestId),
+    ProvedSound(RequestId),
     ServerEnded(RequestId, ServerId),
     AnswerEndedEarly(RequestId, ServerId),
     Plan(Arc<Plan>),
@@ -167,9 +167,9 @@
         self.handle.send(Command::AnswerWentOn(self.request));
     }
 
-    /// Reports that the answer is complete.
-    pub(crate) fn answer_completed(&self) {
-        self.handle.send(Command::AnswerCompleted(self.request));
+    /// Reports that the answer is complete, or went on for so long that the request counts as sound.
+    pub(crate) fn proved_sound(&self) {
+        self.handle.send(Command::ProvedSound(self.request));
     }
 
     /// Reports that the server ended before its answer was complete.
@@ -357,7 +357,7 @@
                 self.scheduler.withdraw(now, &service, request, &mut self.out);
             }
             Command::AnswerWentOn(request) => self.scheduler.answer_went_on(now, request),
-            Command::AnswerCompleted(request) => self.scheduler.answer_completed(now, request),
+            Command::ProvedSound(request) => self.scheduler.proved_sound(now, request),
             Command::ServerEnded(request, server) => {
                 self.scheduler.server_ended(now, request, &server);
             }
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -463,7 +463,7 @@
         if exchange.ends_with_connection() {
             submission.answer_ended_early(&server);
         } else {
-            submission.answer_completed();
+            submission.proved_sound();
         }
         let total = Span::from(sent.elapsed());
         let ok = !exchange.status().is_server_error();
--- a/crates/relay/src/scheduler.rs
+++ b/crates/relay/src/scheduler.rs
@@ -112,6 +112,8 @@
     is_trial: bool,
     /// Whether its answer went on for a while.
     went_on: bool,
+    /// Whether it is known not to end servers.
+    is_sound: bool,
 }
 
 /// Admits the requests of one entry VM and places them on backend servers, for all services.
@@ -245,7 +247,14 @@
             self.budgets.record_first(now, &ticket.service);
         }
         let service = ticket.service.clone();
-        let open = OpenRequest { service, parts, server: None, is_trial: false, went_on: false };
+        let open = OpenRequest {
+            service,
+            parts,
+            server: None,
+            is_trial: false,
+            went_on: false,
+            is_sound: false,
+        };
         self.open.insert(request, open);
         let owner = self.vm.clone();
         let offer = Offer { ticket, owner, urgent: true, avoid, late: Some(late) };
@@ -284,13 +293,15 @@
         }
     }
 
-    /// Records that the answer to a granted request is complete.
-    pub fn answer_completed(&mut self, now: Time, request: RequestId) {
+    /// Records that the answer to a granted request is complete, or went on for so long that the
+    /// request counts as sound.
+    pub fn proved_sound(&mut self, now: Time, request: RequestId) {
         self.answer_went_on(now, request);
-        if let Some(OpenRequest { service, parts, .. }) = self.open.get(&request)
-            && let Some(own) = parts.last()
+        if let Some(open) = self.open.get_mut(&request)
+            && let Some(own) = open.parts.last()
         {
-            self.detector.record_complete(now, service, *own);
+            open.is_sound = true;
+            self.detector.record_sound(now, &open.service, *own);
         }
     }
 
@@ -300,12 +311,11 @@
         }
     }
 
-    /// Records that the server of a granted request ended before its answer was complete.
+    /// Records that the server of a granted request ended before its answer was complete. That is no
+    /// sign against a request that is known to be sound.
     pub fn server_ended(&mut self, now: Time, request: RequestId, server: &ServerId) {
-        let Some(OpenRequest { service, parts, is_trial, went_on, .. }) = self.open.get(&request)
-        else {
-            return;
-        };
+        let open = self.open.get(&request).filter(|open| !open.is_sound);
+        let Some(OpenRequest { service, parts, is_trial, went_on, .. }) = open else { return };
         match parts.last() {
             Some(own) if *went_on => {
                 self.detector.record_late_end(now, service, *own, (server, *is_trial));
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -8,7 +8,7 @@
     time::{Duration, Instant},
 };
 
-use backend::{Exchange, Failure, Framing, PROOF_TIME};
+use backend::{Exchange, Failure, Framing, PROOF_TIME, SOUND_TIME};
 use bytes::Bytes;
 use futures_util::StreamExt;
 use http::{Response, StatusCode, header::CONTENT_TYPE};
@@ -39,6 +39,8 @@
     first: Option<Span>,
     /// Whether the answer of this server went on for [`PROOF_TIME`].
     went_on: bool,
+    /// Whether it went on for [`SOUND_TIME`].
+    is_sound: bool,
     times: EventTimes,
 }
 
@@ -113,9 +115,7 @@
                             self.response.submission.response_started();
                         }
                         self.times.record(Instant::now());
-                        if !self.went_on && self.answering() >= PROOF_TIME {
-                            self.record_proof();
-                        }
+                        self.record_progress();
                         return StreamPart::Events(whole);
                     }
                     Err(error) => return StreamPart::Broken(error.to_string()),
@@ -152,16 +152,23 @@
         self.response.submission.server_ended(&self.response.server);
     }
 
-    fn record_proof(&mut self) {
-        self.went_on = true;
-        self.response.submission.answer_went_on();
+    /// Records for how long the answer has gone on, after events have arrived.
+    fn record_progress(&mut self) {
+        if !self.went_on && self.answering() >= PROOF_TIME {
+            self.went_on = true;
+            self.response.submission.answer_went_on();
+        }
+        if !self.is_sound && self.answering() >= SOUND_TIME {
+            self.is_sound = true;
+            self.response.submission.proved_sound();
+        }
     }
 
     fn finish(self) -> (ServerId, Exchange) {
         if !self.went_on && self.response.exchange.ends_with_connection() {
             self.response.submission.answer_ended_early(&self.response.server);
         } else {
-            self.response.submission.answer_completed();
+            self.response.submission.proved_sound();
         }
         let total = Span::from(self.response.sent.elapsed());
         let first = self.first.unwrap_or(total);
@@ -185,6 +192,7 @@
             response,
             first: None,
             went_on: false,
+            is_sound: false,
             times: EventTimes::default(),
         };
         let part = stream.next(&self.frontend, self.deadline, self.first_event_timeout()).await;
@@ -312,6 +320,7 @@
                     response,
                     first: None,
                     went_on: false,
+                    is_sound: false,
                     times,
                 });
             }
