Keep parts that end servers at control VMs, for entry VMs that start

Cause: what VMs know of such requests was only in the memory of entry VMs, and gossip needs one that goes on. Each entry VM now reports the parts that are blocked or have several ends to the control VMs, with its polls and only after a change; one that starts gets them with the answers to its first polls.

--- a/crates/keeper/src/machine.rs
+++ b/crates/keeper/src/machine.rs
@@ -9,6 +9,7 @@
 };
 
 use model::{Invariant, ServerId, Span, Time, VmName, ZoneName};
+use poison::Detector;
 use raft::{Envelope, Member, Raft, StoredState, Voters, WriteBatch};
 use replica::Replica;
 
@@ -170,6 +171,8 @@
     /// The last report of each entry VM and lineage, with its time. The usage of a process that
     /// ended still counts against the quotas.
     pub(crate) spending: BTreeMap<(VmName, u64), (Time, Spending)>,
+    /// What entry VMs reported of parts of requests under which servers ended, for those that start.
+    pub(crate) suspects: Detector,
     /// Time of the first input.
     pub(crate) started: Option<Time>,
     pub(crate) calls: PendingCalls,
@@ -208,6 +211,7 @@
             contacts: BTreeMap::new(),
             entry_vms: BTreeMap::new(),
             spending: BTreeMap::new(),
+            suspects: Detector::new(setup.vm.clone()),
             started: None,
             calls: PendingCalls::default(),
             leader: None,
--- a/crates/keeper/src/syncs.rs
+++ b/crates/keeper/src/syncs.rs
@@ -32,6 +32,9 @@
             let key = (from, sync.spent.lineage);
             self.spending.insert(key, (self.now, sync.spent.clone()));
         }
+        self.suspects.merge(self.now, &sync.suspects);
+        // The entry VMs log the same changes.
+        let _ = self.suspects.take_notices();
         let digest = self.members_digest();
         self.calls.add_sync(self.now, call_id, sync, digest);
     }
@@ -88,7 +91,8 @@
         }
     }
 
-    pub(crate) fn sync_answer(&self, sync: &Sync) -> Synced {
+    pub(crate) fn sync_answer(&mut self, sync: &Sync) -> Synced {
+        let suspects = if sync.starting { self.suspects.known(self.now) } else { Vec::new() };
         let plan = self.replica.state();
         let current = self.registry_version();
         let known = if sync.registry.0 == current.0 { sync.registry.1 } else { 0 };
@@ -105,6 +109,7 @@
                 .map(|(vm, (_, zone))| (vm.clone(), zone.clone()))
                 .collect(),
             spent: if sync.starting { self.recent_spending() } else { None },
+            suspects,
         }
     }
 
--- a/crates/keeper/src/wire.rs
+++ b/crates/keeper/src/wire.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 
 use model::{AccountName, ServerId, Span, VmName, ZoneName};
+use poison::Suspect;
 use raft::{Envelope, Member, Voters};
 use serde::{Deserialize, Serialize};
 
@@ -117,8 +118,12 @@
     pub registry: (u64, u64),
     /// Quota usage of the entry VM.
     pub spent: Spending,
-    /// Whether the entry VM is starting and asks for the quota usage of all entry VMs.
+    /// Whether the entry VM is starting and asks for what all entry VMs reported.
     pub starting: bool,
+    /// Parts of requests under which servers ended, as far as the entry VM knows. Empty if it told
+    /// the control VM the same before.
+    #[serde(default)]
+    pub suspects: Vec<Suspect>,
 }
 
 /// The answer to [`Sync`], sent when something changed or the poll timed out.
@@ -143,6 +148,9 @@
     /// Recent quota usage of all entry VMs, for one that is starting; `None` otherwise, and if the
     /// sender has not run long enough to know all of it.
     pub spent: Option<Vec<(VmName, Spending)>>,
+    /// Parts of requests under which servers ended, for an entry VM that is starting.
+    #[serde(default)]
+    pub suspects: Vec<Suspect>,
 }
 
 impl Synced {
@@ -158,6 +166,7 @@
             controls: Vec::new(),
             entries: Vec::new(),
             spent: None,
+            suspects: Vec::new(),
         }
     }
 }
--- a/crates/keeper/tests/control/registry.rs
+++ b/crates/keeper/tests/control/registry.rs
@@ -1,8 +1,9 @@
 //! Late and reordered announcements, reused ids and addresses, and the durability of departures.
 
 use crate::sim::{Sim, server, vm};
-use keeper::{Answer, Call, Phase, Registry, ServerStatus, Spending, Sync};
-use model::{Span, Time};
+use keeper::{Answer, Call, Phase, Registry, ServerStatus, Spending, Sync, Synced};
+use model::{Part, Span, Time};
+use poison::{End, Suspect};
 
 fn now(ms: u64) -> Time {
     Time::from_micros(ms * 1_000)
@@ -22,6 +23,7 @@
         registry: (0, 0),
         spent: Spending::default(),
         starting: false,
+        suspects: Vec::new(),
     }
 }
 
@@ -42,6 +44,48 @@
     assert_eq!(listed, [vm(8), vm(9)]);
 }
 
+/// A part under which these servers ended a second ago, blocked since.
+fn suspect(part: &str, servers: &[&str]) -> Suspect {
+    let end = |id: &&str| End {
+        server: (*id).try_into().unwrap(),
+        age: Span::from_secs(1),
+        is_trial: false,
+        is_refuted: false,
+    };
+    Suspect {
+        service: "desk".try_into().unwrap(),
+        part: Part::from(part),
+        ends: servers.iter().map(end).collect(),
+        cleared: None,
+        blocked: Some(Span::from_millis(500)),
+        tried: None,
+    }
+}
+
+#[test]
+fn only_a_starting_vm_is_told_of_parts_that_vms_knew_before_it() {
+    let mut sim = Sim::new(1, &[1], 0);
+    sim.start(1, true);
+    sim.run(1_000);
+    let mut poll = |call, from, sync| -> Synced {
+        sim.call(&vm(1), call, Call::Sync { from: vm(from), sync });
+        sim.run(500);
+        let Answer::Synced(synced) = &sim.answers[&call] else { panic!("not answered") };
+        Synced::clone(synced)
+    };
+    let [first, second] = [suspect("a1", &["i-1", "i-2", "i-3"]), suspect("b2", &["i-1", "i-3"])];
+    let suspects = vec![first.clone(), second];
+    assert!(poll(1, 8, Sync { suspects, ..sync(1) }).suspects.is_empty());
+    // The same part again, as another VM knows it.
+    poll(2, 9, Sync { suspects: vec![first.after(Span::from_millis(500))], ..sync(2) });
+    assert!(poll(3, 9, sync(2)).suspects.is_empty());
+    let told = poll(4, 8, Sync { starting: true, ..sync(3) }).suspects;
+    let ends: Vec<_> = told.iter().map(|s| (s.part, s.ends.len(), s.blocked.is_some())).collect();
+    assert_eq!(ends, [(Part::from("a1"), 3, true), (Part::from("b2"), 2, false)]);
+    let age = told[0].blocked.unwrap();
+    assert!(age >= Span::from_millis(1_900), "blocked {age:?} ago");
+}
+
 #[test]
 fn a_late_announcement_is_ignored() {
     let mut registry = Registry::default();
--- a/crates/poison/src/detector.rs
+++ b/crates/poison/src/detector.rs
@@ -381,6 +381,15 @@
         .collect()
     }
 
+    /// Returns what a VM that starts should know: the parts that are or were blocked, and then those
+    /// under which several servers ended, the latter by their number.
+    pub fn known(&mut self, now: Time) -> Vec<Suspect> {
+        self.forget(now);
+        let mut known: Vec<_> = self.records.iter().filter(|(_, r)| r.is_weighty()).collect();
+        known.sort_by_key(|(_, r)| std::cmp::Reverse((r.is_decided(), r.ends())));
+        known.into_iter().map(|((service, part), r)| r.suspect(now, service, *part)).collect()
+    }
+
     /// Returns whether something changed that other VMs should learn at once.
     #[must_use]
     pub fn has_changes(&self) -> bool {
--- a/crates/poison/src/suspect.rs
+++ b/crates/poison/src/suspect.rs
@@ -34,3 +34,35 @@
     /// Time since a request was last let through.
     pub tried: Option<Span>,
 }
+
+impl Suspect {
+    /// Returns the same knowledge as seen `time` later: every age grows by `time`.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use model::{Part, Span};
+    /// use poison::Suspect;
+    ///
+    /// let suspect = Suspect {
+    ///     service: "desk".try_into()?,
+    ///     part: Part::from("a1"),
+    ///     ends: Vec::new(),
+    ///     cleared: None,
+    ///     blocked: Some(Span::from_secs(2)),
+    ///     tried: None,
+    /// };
+    /// assert_eq!(suspect.after(Span::from_secs(3)).blocked, Some(Span::from_secs(5)));
+    /// # Ok::<(), model::Error>(())
+    /// ```
+    #[must_use]
+    pub fn after(&self, time: Span) -> Self {
+        let mut later = self.clone();
+        let Self { ends, cleared, blocked, tried, .. } = &mut later;
+        let ages = ends.iter_mut().map(|end| &mut end.age);
+        for age in ages.chain([cleared, blocked, tried].into_iter().flatten()) {
+            *age = *age + time;
+        }
+        later
+    }
+}
--- a/crates/poison/tests/detector.rs
+++ b/crates/poison/tests/detector.rs
@@ -3,7 +3,7 @@
 
 use std::collections::VecDeque;
 
-use model::{Part, ServerId, ServiceName, Time, VmName};
+use model::{Part, ServerId, ServiceName, Span, Time, VmName};
 use poison::{Admission, Detector, Suspect};
 
 fn service() -> ServiceName {
@@ -452,6 +452,31 @@
     }
 }
 
+#[test]
+fn a_vm_that_starts_continues_with_what_is_known() {
+    let [mut before, mut after] = <[Detector; 2]>::try_from(detectors(2)).unwrap();
+    for n in 0..4 {
+        let names: &[&str] = if n < 2 { &["f0", "bad"] } else { &["bad"] };
+        apply(&mut before, u64::from(n) * 300, Event::End(names, n));
+        (0..3).for_each(|_| apply(&mut before, u64::from(n) * 300, Event::Answer(&["x"])));
+    }
+    apply(&mut before, 1_000, Event::End(&["once"], 9));
+    before.suspects(at(2_000));
+    let trial = before.admit(at(2_400), &service(), &parts(&["bad"]));
+    assert_eq!(trial, Admission::Trial);
+    before.record_end(at(2_500), &service(), &parts(&["bad"]), (&server(5), true));
+    let known = before.known(at(3_000));
+    let names: Vec<_> = known.iter().map(|suspect| suspect.part).collect();
+    assert_eq!(names, parts(&["bad", "f0"]), "one end alone tells little");
+    let told: Vec<Suspect> = known.iter().map(|s| s.after(Span::from_millis(500))).collect();
+    after.merge(at(3_500), &told);
+    assert!(!is_refused(&mut after, 4_400, &["f0"]));
+    // The trials go on as if the VM had not started anew.
+    let next = (3_500..9_000).step_by(10).find(|ms| !is_refused(&mut after, *ms, &["bad"]));
+    assert!(next.is_some_and(|ms| ms >= 5_400), "tried at {next:?}");
+    assert!(before.known(at(2_000_000)).is_empty(), "all is forgotten in time");
+}
+
 #[test]
 fn messages_among_vms_end_when_nothing_changes() {
     let mut vms = detectors(4);
--- a/crates/relay/src/control.rs
+++ b/crates/relay/src/control.rs
@@ -22,6 +22,7 @@
 use tokio::sync::watch;
 
 use crate::{
+    datagram::Datagram,
     dialect::Dialect,
     event_loop::{PlanState, SchedulerHandle, SharedPlan},
     frontend::{SharedRestraints, lock},
@@ -142,8 +143,12 @@
 
     async fn poll(self: Arc<Self>, control: VmName) {
         let mut connected = false;
+        // The incarnation of the control VM and the revision of the suspects that it was told.
+        let mut told = None;
         loop {
             let sent = clock::since_boot();
+            let known = self.handle.known_suspects();
+            let is_told = told.is_some_and(|(_, revision)| revision == known.revision);
             let sync = Sync {
                 incarnation: self.incarnation,
                 zone: self.zone.clone(),
@@ -152,6 +157,7 @@
                 registry: self.cluster().reports.get(&control).map_or((0, 0), |s| s.registry),
                 spent: self.handle.spending(),
                 starting: self.plan_version() == 0,
+                suspects: if is_told { Vec::new() } else { known.at(sent) },
             };
             let answer = self.links.ask(&control, &sync, POLL_TIMEOUT).await;
             if answer.is_ok() != connected {
@@ -168,7 +174,15 @@
                 }
             }
             match answer {
-                Ok(synced) => self.apply(sent, &control, synced),
+                Ok(synced) => {
+                    let (incarnation, _) = synced.registry;
+                    told = match told {
+                        // It has started anew and was not told yet.
+                        Some((before, _)) if is_told && before != incarnation => None,
+                        _ => Some((incarnation, known.revision)),
+                    };
+                    self.apply(sent, &control, synced);
+                }
                 Err(_) => tokio::time::sleep(RETRY_DELAY).await,
             }
         }
@@ -179,6 +193,9 @@
     }
 
     fn apply(&self, sent: Time, control: &VmName, synced: Synced) {
+        if !synced.suspects.is_empty() {
+            self.handle.receive(Datagram::Suspects(synced.suspects.clone()));
+        }
         self.apply_plan(sent, control, &synced);
         let now = clock::since_boot();
         self.last_answer.store(now.as_micros(), Ordering::Relaxed);
--- a/crates/relay/src/event_loop.rs
+++ b/crates/relay/src/event_loop.rs
@@ -14,7 +14,8 @@
 
 use arc_swap::ArcSwap;
 use keeper::Spending;
-use model::{Outcome, RequestId, ServerId, ServiceName, VmName};
+use model::{Outcome, RequestId, ServerId, ServiceName, Time, VmName};
+use poison::Suspect;
 use region::{Notice, ServiceUsage};
 use routing::Plan;
 use tokio::sync::oneshot;
@@ -32,6 +33,8 @@
 const SUSPECTS_INTERVAL: Duration = Duration::from_millis(50);
 /// Interval of these messages while nothing changes, for VMs that missed earlier ones.
 const SUSPECTS_REFRESH: Duration = Duration::from_millis(500);
+/// Number of parts of which control VMs are told.
+const MAX_KNOWN: usize = 12;
 /// Number of VMs that get such a message. They pass on what is new to them.
 const SUSPECTS_FANOUT: usize = 8;
 /// Interval at which the slots of services are logged and exported.
@@ -66,11 +69,28 @@
     fn record_usage(&self, usage: &ServiceUsage);
 }
 
+/// What control VMs are to keep of parts under which servers ended, for entry VMs that start.
+#[derive(Debug, Default)]
+pub(crate) struct KnownSuspects {
+    at: Time,
+    /// Number that is greater after each change.
+    pub(crate) revision: u64,
+    suspects: Vec<Suspect>,
+}
+
+impl KnownSuspects {
+    /// Returns the suspects with their ages at `now`.
+    pub(crate) fn at(&self, now: Time) -> Vec<Suspect> {
+        self.suspects.iter().map(|suspect| suspect.after(now - self.at)).collect()
+    }
+}
+
 /// Sends commands to the scheduler thread.
 #[derive(Clone, Debug)]
 pub(crate) struct SchedulerHandle {
     commands: mpsc::Sender<Command>,
     spending: Arc<ArcSwap<Spending>>,
+    suspects: Arc<ArcSwap<KnownSuspects>>,
 }
 
 impl SchedulerHandle {
@@ -91,6 +111,11 @@
         Spending::clone(&self.spending.load())
     }
 
+    /// Returns what control VMs are to keep of parts under which servers ended.
+    pub(crate) fn known_suspects(&self) -> Arc<KnownSuspects> {
+        self.suspects.load_full()
+    }
+
     pub(crate) fn receive(&self, datagram: Datagram) {
         self.send(Command::Receive(Box::new(datagram)));
     }
@@ -222,6 +247,7 @@
     out: Vec<Decision>,
     has_changes: bool,
     spending: Arc<ArcSwap<Spending>>,
+    suspects: Arc<ArcSwap<KnownSuspects>>,
 }
 
 /// Starts the scheduler thread.
@@ -235,7 +261,7 @@
     environment: S,
 ) -> io::Result<SchedulerHandle> {
     let (sender, receiver) = mpsc::channel();
-    let spending = Arc::new(ArcSwap::default());
+    let (spending, suspects) = (Arc::new(ArcSwap::default()), Arc::new(ArcSwap::default()));
     let event_loop = EventLoop {
         scheduler,
         environment,
@@ -246,9 +272,10 @@
         out: Vec::new(),
         has_changes: false,
         spending: Arc::clone(&spending),
+        suspects: Arc::clone(&suspects),
     };
     thread::Builder::new().name("desk".into()).spawn(move || event_loop.run(&receiver))?;
-    Ok(SchedulerHandle { commands: sender, spending })
+    Ok(SchedulerHandle { commands: sender, spending, suspects })
 }
 
 impl<S: Environment> EventLoop<S> {
@@ -294,6 +321,7 @@
                 next_suspects = now + SUSPECTS_INTERVAL;
                 next_refresh = now + SUSPECTS_REFRESH;
                 self.send_suspects();
+                self.update_known();
             }
             self.scheduler.take_notices().iter().for_each(log_notice);
             self.scheduler.take_part_notices().iter().for_each(log_part_notice);
@@ -322,6 +350,17 @@
         self.environment.send(&told, &Datagram::Suspects(suspects));
     }
 
+    /// Updates what control VMs are to keep of parts under which servers ended.
+    fn update_known(&mut self) {
+        let (now, last) = (clock::since_boot(), self.suspects.load());
+        let mut suspects = self.scheduler.known_suspects(now);
+        suspects.truncate(MAX_KNOWN);
+        if suspects != last.at(now) {
+            let revision = last.revision + 1;
+            self.suspects.store(Arc::new(KnownSuspects { at: now, revision, suspects }));
+        }
+    }
+
     /// Sends a report to all other entry VMs.
     fn share(&mut self) {
         let report = self.scheduler.load_report(clock::since_boot());
--- a/crates/relay/src/scheduler.rs
+++ b/crates/relay/src/scheduler.rs
@@ -342,6 +342,11 @@
         self.detector.suspects(now)
     }
 
+    /// Returns what an entry VM that starts should know of parts under which servers ended.
+    pub fn known_suspects(&mut self, now: Time) -> Vec<Suspect> {
+        self.detector.known(now)
+    }
+
     /// Returns whether suspects should be sent to other entry VMs at once.
     #[must_use]
     pub fn has_new_suspects(&self) -> bool {
