--- a/crates/poison/src/detector.rs
+++ b/crates/poison/src/detector.rs
@@ -277,7 +277,8 @@
     }
 
     /// Records that a server ended after its answer to a request with this part of its own had gone
-    /// on for a while, and before the request was known to be sound. `is_trial` is that of [`record_end`](Self::record_end).
+    /// on for a while, and before the request was known to be sound. `is_trial` is that of
+    /// [`record_end`](Self::record_end).
     pub fn record_late_end(
         &mut self,
         now: Time,
--- a/crates/poison/tests/storm.rs
+++ b/crates/poison/tests/storm.rs
@@ -20,7 +20,8 @@
 const KNOWN: u64 = 5_000;
 const END: u64 = 9_000;
 
-/// Parts of the requests of each caller, of which the last is the request's own. Those with `bad` end servers.
+/// Parts of the requests of each caller, of which the last is the request's own. Those with `bad`
+/// end servers.
 const SOUND: [&[&str]; 9] = [
     &["f0", "aa", "resume-x"],
     &["f0", "aa", "resume-x"],
