Keep parts that end servers on the disks of control VMs

Cause: control VMs kept what entry VMs report in memory only. A control VM now writes it to a file when it changes, at most every 250 ms and on a thread of its own, and its next process reads it and adds the time of day that has passed.

--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -10,6 +10,7 @@
 mod listen;
 mod node;
 mod protocol;
+mod suspects;
 mod thread;
 
 pub use crate::{
--- a/crates/host/src/node.rs
+++ b/crates/host/src/node.rs
@@ -19,6 +19,7 @@
     error::{Error, ErrorKind},
     listen::CallListener,
     protocol::ControlProtocol,
+    suspects,
     thread::{self, Handle},
 };
 
@@ -112,10 +113,13 @@
             losses: config.losses,
             silence: config.silence,
             seed: rand::random(),
+            suspects: suspects::load(&config.data_dir),
         };
         let disk = JournalDisk::new(config.data_dir.clone(), journal);
+        let kept = suspects::start_writer(&config.data_dir)
+            .change_context_lazy(|| Error::from(ErrorKind::Spawn))?;
         let handle =
-            thread::start(&setup, links, config.peer_address.port(), disk, Arc::clone(&meters))
+            thread::start(&setup, links, config.peer_address.port(), (disk, kept), meters.clone())
                 .change_context_lazy(|| Error::from(ErrorKind::Spawn))?;
         peer::serve(
             config.peer_address,
--- a/crates/host/src/thread.rs
+++ b/crates/host/src/thread.rs
@@ -22,6 +22,7 @@
 use crate::{
     disk::JournalDisk,
     protocol::{ControlProtocol, peer_address},
+    suspects::Kept,
 };
 
 /// Interval between ticks of the control state.
@@ -65,6 +66,7 @@
     runtime: tokio::runtime::Handle,
     port: u16,
     writes: mpsc::Sender<LogWrite>,
+    kept: mpsc::Sender<Kept>,
     waiting: HashMap<u64, oneshot::Sender<Answer>>,
     next_call: u64,
     meters: Arc<Meters>,
@@ -73,12 +75,13 @@
 
 /// Starts the control thread and the disk thread. It must be called within a tokio runtime.
 ///
-/// `port` is the one on which all control VMs accept calls of other VMs.
+/// `port` is the one on which all control VMs accept calls of other VMs. What is sent to `kept` is
+/// written for the next process.
 pub(crate) fn start(
     setup: &Setup,
     links: Links<ControlProtocol>,
     port: u16,
-    disk: JournalDisk,
+    (disk, kept): (JournalDisk, mpsc::Sender<Kept>),
     meters: Arc<Meters>,
 ) -> io::Result<Handle> {
     let (work, inbox) = mpsc::channel();
@@ -93,6 +96,7 @@
         runtime: tokio::runtime::Handle::current(),
         port,
         writes: spawn_disk_writer(disk, synced, |e| spdlog::critical!("disk thread ended: {e}"))?,
+        kept,
         waiting: HashMap::new(),
         next_call: 1,
         meters,
@@ -147,6 +151,10 @@
                 // The send fails only when the process ends, and the disk thread with it.
                 let _ = self.writes.send(LogWrite { id, cluster, batch: persist });
             }
+            Output::Keep(suspects) => {
+                // The send fails only when the process ends, and the writer with it.
+                let _ = self.kept.send(Kept::now(suspects));
+            }
             Output::Reply { call_id, answer } => {
                 if let Some(waiting) = self.waiting.remove(&call_id) {
                     // The send fails if the caller no longer waits.
--- a/crates/keeper/src/machine.rs
+++ b/crates/keeper/src/machine.rs
@@ -9,7 +9,7 @@
 };
 
 use model::{Invariant, ServerId, Span, Time, VmName, ZoneName};
-use poison::Detector;
+use poison::{Detector, Known, Suspect};
 use raft::{Envelope, Member, Raft, StoredState, Voters, WriteBatch};
 use replica::Replica;
 
@@ -55,6 +55,8 @@
     pub silence: Span,
     /// Seed of the random election timeouts and of the identity of a log that this VM founds.
     pub seed: u64,
+    /// What the VM last kept by [`Output::Keep`], with the ages at the start.
+    pub suspects: Vec<Suspect>,
 }
 
 impl Setup {
@@ -72,6 +74,7 @@
             losses: 0,
             silence: Span::from_secs(4),
             seed: 1,
+            suspects: Vec::new(),
             vm,
         }
     }
@@ -126,6 +129,9 @@
         /// The changes to write.
         persist: WriteBatch,
     },
+    /// Keep these parts of requests under which servers ended, in place of earlier ones, for the next
+    /// process of this VM. They are a help to entry VMs that start, and no output depends on them.
+    Keep(Vec<Suspect>),
     /// Answer a call.
     Reply {
         /// Number of the call, from [`Input::Call`].
@@ -173,6 +179,8 @@
     pub(crate) spending: BTreeMap<(VmName, u64), (Time, Spending)>,
     /// What entry VMs reported of parts of requests under which servers ended, for those that start.
     pub(crate) suspects: Detector,
+    /// Those of [`Output::Keep`].
+    pub(crate) kept: Known,
     /// Time of the first input.
     pub(crate) started: Option<Time>,
     pub(crate) calls: PendingCalls,
@@ -212,6 +220,7 @@
             entry_vms: BTreeMap::new(),
             spending: BTreeMap::new(),
             suspects: Detector::new(setup.vm.clone()),
+            kept: Known::default(),
             started: None,
             calls: PendingCalls::default(),
             leader: None,
@@ -237,7 +246,11 @@
             raft.tick(now);
         }
         self.now = self.now.max(now);
-        self.started.get_or_insert(self.now);
+        if self.started.is_none() {
+            self.started = Some(self.now);
+            let stored = std::mem::take(&mut self.setup.suspects);
+            self.merge_suspects(&stored);
+        }
         match input {
             Input::Tick => self.tick(),
             Input::Message { from, message } => self.on_message(from, message),
@@ -275,6 +288,7 @@
             self.expire();
             self.try_found();
             self.update_voters();
+            self.keep_suspects();
         }
         if self.now >= self.forward_at {
             self.forward_at = self.now + FORWARD_INTERVAL;
--- a/crates/keeper/src/syncs.rs
+++ b/crates/keeper/src/syncs.rs
@@ -12,9 +12,10 @@
 };
 
 use model::{Span, VmName};
+use poison::Suspect;
 
 use crate::{
-    machine::{Keeper, PEER_TIMEOUT, SPENDING_WINDOW},
+    machine::{Keeper, Output, PEER_TIMEOUT, SPENDING_WINDOW},
     wire::{Answer, Spending, Sync, Synced},
 };
 
@@ -32,13 +33,26 @@
             let key = (from, sync.spent.lineage);
             self.spending.insert(key, (self.now, sync.spent.clone()));
         }
-        self.suspects.merge(self.now, &sync.suspects);
-        // The entry VMs log the same changes.
-        let _ = self.suspects.take_notices();
+        self.merge_suspects(&sync.suspects);
         let digest = self.members_digest();
         self.calls.add_sync(self.now, call_id, sync, digest);
     }
 
+    /// Merges parts of requests under which servers ended.
+    pub(crate) fn merge_suspects(&mut self, suspects: &[Suspect]) {
+        self.suspects.merge(self.now, suspects);
+        // The entry VMs log the same changes.
+        let _ = self.suspects.take_notices();
+    }
+
+    /// Lets the VM keep these parts if more than their ages changed.
+    pub(crate) fn keep_suspects(&mut self) {
+        let suspects = self.suspects.known(self.now);
+        if self.kept.update(self.now, suspects.clone()) {
+            self.out.push(Output::Keep(suspects));
+        }
+    }
+
     /// Returns the incarnation of this process and the revision of its registry. Revisions of
     /// different processes are not comparable.
     pub(crate) fn registry_version(&self) -> (u64, u64) {
--- a/crates/keeper/tests/control/registry.rs
+++ b/crates/keeper/tests/control/registry.rs
@@ -86,6 +86,27 @@
     assert!(age >= Span::from_millis(1_900), "blocked {age:?} ago");
 }
 
+#[test]
+fn a_starting_vm_is_told_of_parts_that_were_known_before_all_vms_ended() {
+    let mut sim = Sim::new(1, &[1], 0);
+    sim.start(1, true);
+    sim.run(1_000);
+    let suspects = vec![suspect("a1", &["i-1", "i-2", "i-3"])];
+    sim.call(&vm(1), 1, Call::Sync { from: vm(8), sync: Sync { suspects, ..sync(1) } });
+    sim.run(500);
+    sim.kill(1);
+    sim.run(10_000);
+    sim.start(1, true);
+    let starting = Sync { starting: true, ..sync(2) };
+    sim.call(&vm(1), 2, Call::Sync { from: vm(8), sync: starting });
+    sim.run(500);
+    let Answer::Synced(synced) = &sim.answers[&2] else { panic!("not answered") };
+    let [told] = &synced.suspects[..] else { panic!("told of {:?}", synced.suspects) };
+    assert_eq!((told.part, told.ends.len()), (Part::from("a1"), 3));
+    let age = told.blocked.unwrap();
+    assert!(age >= Span::from_secs(11) && age < Span::from_secs(12), "blocked {age:?} ago");
+}
+
 #[test]
 fn a_late_announcement_is_ignored() {
     let mut registry = Registry::default();
--- a/crates/keeper/tests/control/sim.rs
+++ b/crates/keeper/tests/control/sim.rs
@@ -5,6 +5,7 @@
 
 use keeper::{Answer, Call, Input, Keeper, Message, Output, Phase, Server, Setup};
 use model::{Span, Time, VmName};
+use poison::Suspect;
 use raft::{Member, StoredState, WriteBatch};
 
 /// Interval of ticks, in milliseconds.
@@ -18,6 +19,8 @@
 struct Disk {
     id: u64,
     stored: Option<StoredState>,
+    /// What the VM kept for its next process, and when, in milliseconds.
+    kept: (u64, Vec<Suspect>),
 }
 
 impl Disk {
@@ -93,7 +96,9 @@
     pub(crate) fn start(&mut self, n: u64, founding: bool) {
         self.last_id += 1;
         let number = self.last_id;
-        let disk = self.disks.entry(vm(n)).or_insert_with(|| Disk { id: number, stored: None });
+        let disk =
+            self.disks.entry(vm(n)).or_insert_with(|| Disk { id: number, ..Disk::default() });
+        let age = Span::from_millis(self.now - disk.kept.0);
         let setup = Setup {
             vm: vm(n),
             zone: format!("zone-{}", n % 3).try_into().unwrap(),
@@ -105,6 +110,7 @@
             losses: self.losses,
             silence: Span::from_secs(4),
             seed: number * 7_919 + self.random,
+            suspects: disk.kept.1.iter().map(|s| s.after(age)).collect(),
         };
         self.vms.insert(vm(n), Keeper::new(&setup));
     }
@@ -177,6 +183,9 @@
                 Output::Reply { call_id, answer } => {
                     self.answers.insert(call_id, answer);
                 }
+                Output::Keep(suspects) => {
+                    self.disks.get_mut(to).unwrap().kept = (self.now, suspects);
+                }
                 Output::Changed(_) => {}
             }
         }
--- a/crates/poison/src/lib.rs
+++ b/crates/poison/src/lib.rs
@@ -12,10 +12,12 @@
 //! part is blocked everywhere. The crate performs no input or output and reads no clock.
 
 mod detector;
+mod known;
 mod record;
 mod suspect;
 
 pub use crate::{
     detector::{Admission, Change, Detector, Notice},
+    known::Known,
     suspect::{End, Suspect},
 };
--- a/crates/relay/src/control.rs
+++ b/crates/relay/src/control.rs
@@ -147,8 +147,8 @@
         let mut told = None;
         loop {
             let sent = clock::since_boot();
-            let known = self.handle.known_suspects();
-            let is_told = told.is_some_and(|(_, revision)| revision == known.revision);
+            let suspects = self.handle.known_suspects();
+            let is_told = told.is_some_and(|(_, revision)| revision == suspects.revision);
             let sync = Sync {
                 incarnation: self.incarnation,
                 zone: self.zone.clone(),
@@ -157,7 +157,7 @@
                 registry: self.cluster().reports.get(&control).map_or((0, 0), |s| s.registry),
                 spent: self.handle.spending(),
                 starting: self.plan_version() == 0,
-                suspects: if is_told { Vec::new() } else { known.at(sent) },
+                suspects: if is_told { Vec::new() } else { suspects.known.at(sent) },
             };
             let answer = self.links.ask(&control, &sync, POLL_TIMEOUT).await;
             if answer.is_ok() != connected {
@@ -179,7 +179,7 @@
                     told = match told {
                         // It has started anew and was not told yet.
                         Some((before, _)) if is_told && before != incarnation => None,
-                        _ => Some((incarnation, known.revision)),
+                        _ => Some((incarnation, suspects.revision)),
                     };
                     self.apply(sent, &control, synced);
                 }
--- a/crates/relay/src/event_loop.rs
+++ b/crates/relay/src/event_loop.rs
@@ -14,8 +14,8 @@
 
 use arc_swap::ArcSwap;
 use keeper::Spending;
-use model::{Outcome, RequestId, ServerId, ServiceName, Time, VmName};
-use poison::Suspect;
+use model::{Outcome, RequestId, ServerId, ServiceName, VmName};
+use poison::Known;
 use region::{Notice, ServiceUsage};
 use routing::Plan;
 use tokio::sync::oneshot;
@@ -70,19 +70,11 @@
 }
 
 /// What control VMs are to keep of parts under which servers ended, for entry VMs that start.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct KnownSuspects {
-    at: Time,
+    pub(crate) known: Known,
     /// Number that is greater after each change.
     pub(crate) revision: u64,
-    suspects: Vec<Suspect>,
-}
-
-impl KnownSuspects {
-    /// Returns the suspects with their ages at `now`.
-    pub(crate) fn at(&self, now: Time) -> Vec<Suspect> {
-        self.suspects.iter().map(|suspect| suspect.after(now - self.at)).collect()
-    }
 }
 
 /// Sends commands to the scheduler thread.
@@ -352,12 +344,12 @@
 
     /// Updates what control VMs are to keep of parts under which servers ended.
     fn update_known(&mut self) {
-        let (now, last) = (clock::since_boot(), self.suspects.load());
+        let now = clock::since_boot();
         let mut suspects = self.scheduler.known_suspects(now);
         suspects.truncate(MAX_KNOWN);
-        if suspects != last.at(now) {
-            let revision = last.revision + 1;
-            self.suspects.store(Arc::new(KnownSuspects { at: now, revision, suspects }));
+        let KnownSuspects { mut known, revision } = KnownSuspects::clone(&self.suspects.load());
+        if known.update(now, suspects) {
+            self.suspects.store(Arc::new(KnownSuspects { known, revision: revision + 1 }));
         }
     }
 
--- a/crates/store/src/error.rs
+++ b/crates/store/src/error.rs
@@ -2,8 +2,8 @@
 
 use std::fmt;
 
-/// A failed access to the data folder: a database file that cannot be opened, read, or written and
-/// synced, a corrupt record, or a missing log entry.
+/// A failed access to the data folder: a file that cannot be opened, read, or written and synced, a
+/// corrupt record, or a missing log entry.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Error {
     kind: ErrorKind,
@@ -14,7 +14,9 @@
     Open(String),
     Read(&'static str),
     Write(&'static str),
+    WriteFile(String),
     Corrupt { what: &'static str, key: u64 },
+    CorruptFile(String),
     MissingEntry { index: u64 },
 }
 
@@ -30,6 +32,10 @@
             ErrorKind::Open(path) => write!(f, "cannot open {path}"),
             ErrorKind::Read(what) => write!(f, "cannot read {what}"),
             ErrorKind::Write(what) => write!(f, "cannot write and sync {what}"),
+            ErrorKind::WriteFile(path) => write!(f, "cannot write and sync {path}"),
+            ErrorKind::CorruptFile(path) => {
+                write!(f, "{path} is corrupt: its checksum does not match")
+            }
             ErrorKind::Corrupt { what, key } => {
                 write!(f, "{what} {key} is corrupt: its checksum does not match")
             }
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -1,8 +1,9 @@
-//! Persistent storage of a VM: the replicated log and the records of refused requests.
+//! Persistent storage of a VM: the replicated log, the records of refused requests, and single
+//! values.
 //!
-//! Both are kept in one data folder, each in its own database file. A write takes effect only once
-//! its transaction is synced. Every record carries a checksum; a mismatch is reported as an error,
-//! and the record is never skipped.
+//! All are kept in one data folder, the first two in database files of their own, and each value in
+//! a [`ValueFile`]. A write takes effect only once it is synced. Every record carries a checksum; a
+//! mismatch is reported as an error, and the record is never skipped.
 //!
 //! # Examples
 //!
@@ -25,6 +26,7 @@
 //! ```
 
 mod error;
+mod file;
 mod journal;
 mod ledger;
 mod record;
@@ -32,6 +34,7 @@
 
 pub use crate::{
     error::Error,
+    file::ValueFile,
     journal::Journal,
     ledger::{Ledger, LedgerConfig},
     refusals::{RefusalStore, SequenceGap},
--- a/crates/store/tests/disk.rs
+++ b/crates/store/tests/disk.rs
@@ -6,7 +6,7 @@
 use model::{AccountName, Refusal, RefusalKey, RefusalReason, RequestId, Verdict, VmName};
 use raft::{HardState, LogEntry, Member, Payload, Snapshot, StoredState, WriteBatch};
 use redb::{Database, ReadableTable, TableDefinition};
-use store::{Journal, Ledger, LedgerConfig, RefusalStore};
+use store::{Journal, Ledger, LedgerConfig, RefusalStore, ValueFile};
 
 struct Folder(PathBuf);
 
@@ -199,3 +199,29 @@
     assert_eq!(gaps.len(), 1);
     assert_eq!((gaps[0].incarnation, gaps[0].missing), (9, 2));
 }
+
+#[test]
+fn a_value_file_holds_the_last_value_or_reports_that_it_is_corrupt() {
+    let folder = Folder::new("value");
+    std::fs::create_dir_all(&folder.0).unwrap();
+    let (file, path) = (ValueFile::new(&folder.0, "value"), folder.0.join("value"));
+    assert_eq!(file.read::<String>().unwrap(), None);
+    file.write(&"first").unwrap();
+    file.write(&"second").unwrap();
+    // A write that was cut short leaves a part of the next value.
+    std::fs::write(path.with_extension("new"), b"thi").unwrap();
+    assert_eq!(file.read::<String>().unwrap().as_deref(), Some("second"));
+    let whole = std::fs::read(&path).unwrap();
+    for at in 0..whole.len() {
+        let mut corrupt = whole.clone();
+        corrupt[at] ^= 1;
+        std::fs::write(&path, corrupt).unwrap();
+        assert!(file.read::<String>().is_err(), "byte {at}");
+        std::fs::write(&path, &whole[..at]).unwrap();
+        assert!(file.read::<String>().is_err(), "cut after {at}");
+    }
+    file.write(&"third").unwrap();
+    assert_eq!(file.read::<String>().unwrap().as_deref(), Some("third"));
+    std::fs::remove_dir_all(&folder.0).unwrap();
+    assert!(file.write(&"fourth").is_err());
+}
