--- a/crates/keeper/src/machine.rs
+++ b/crates/keeper/src/machine.rs
@@ -130,7 +130,7 @@
         persist: WriteBatch,
     },
     /// Keep these parts of requests under which servers ended, in place of earlier ones, for the next
-    /// process of this VM. They are a help to entry VMs that start, and no output depends on them.
+    /// process of this VM. They help entry VMs that start, and no acknowledgement depends on them.
     Keep(Vec<Suspect>),
     /// Answer a call.
     Reply {
