Do not search all suspects for news on each turn of the event loop

Each answer searched them for ends that it refutes as well. The detector now knows whether there is news, and when an end last became known, after which nothing is refuted for longer than a second. The tests of the crate pass unchanged.

--- a/crates/poison/src/detector.rs
+++ b/crates/poison/src/detector.rs
@@ -8,7 +8,7 @@
 use model::{Part, ServerId, ServiceName, Span, Time, VmName, unit_hash};
 
 use crate::{
-    record::{MIN_ENDS, Record, TRIAL_TIME},
+    record::{MIN_ENDS, REFUTATION_TIME, Record, TRIAL_TIME},
     suspect::Suspect,
 };
 
@@ -164,13 +164,24 @@
     records: BTreeMap<(ServiceName, Part), Record>,
     services: BTreeMap<ServiceName, ServiceRecord>,
     notices: Vec<Notice>,
+    /// Whether other VMs may not have been told the latest of a record.
+    has_unsent: bool,
+    /// When an end last became known.
+    last_end: Time,
 }
 
 impl Detector {
     /// Creates the detector of a VM that has seen nothing yet.
     #[must_use]
     pub fn new(vm: VmName) -> Self {
-        Self { vm, records: BTreeMap::new(), services: BTreeMap::new(), notices: Vec::new() }
+        Self {
+            vm,
+            records: BTreeMap::new(),
+            services: BTreeMap::new(),
+            notices: Vec::new(),
+            has_unsent: false,
+            last_end: Time::default(),
+        }
     }
 
     /// Returns whether a request with these parts could be sent now. The last one is the request's
@@ -208,6 +219,7 @@
                 if let Some(record) = record.filter(|r| r.blocked.is_some()) {
                     record.start_trial(now);
                     record.unsent = true;
+                    self.has_unsent = true;
                     self.notices.push(Notice::new(Change::Tried, (service, *part), record));
                 }
             }
@@ -242,15 +254,20 @@
             }
             record.clear(now);
             record.unsent = true;
+            self.has_unsent = true;
         }
     }
 
     /// Records that a server is answering. If it seemed to end shortly before, only connections to
     /// it ended.
     pub fn record_alive(&mut self, now: Time, service: &ServiceName, server: &ServerId) {
+        if now >= self.last_end + REFUTATION_TIME {
+            return;
+        }
         for ((of_service, part), record) in &mut self.records {
             if of_service == service {
                 record.unsent |= record.refute(now, server);
+                self.has_unsent |= record.unsent;
                 if record.unblock_if_refuted(now) {
                     self.notices.push(Notice::new(Change::Cleared, (service, *part), record));
                 }
@@ -298,10 +315,13 @@
         (server, is_trial): (&ServerId, bool),
     ) {
         let answers = self.service(service).answers;
+        self.last_end = self.last_end.max(now);
         for part in parts {
             let Some(record) = self.record(now, service, *part, answers) else { continue };
             let is_trial = is_trial && record.blocked.is_some();
             record.unsent |= record.add_end(now, server, (is_trial, false));
+            let is_unsent = record.unsent;
+            self.has_unsent |= is_unsent;
         }
     }
 
@@ -353,13 +373,13 @@
             let Some(record) = self.record(now, service, part, answers) else { continue };
             let was_blocked = record.blocked.is_some();
             record.unsent |= record.merge(now, suspect);
-            let change = match (was_blocked, record.blocked.is_some()) {
-                (false, true) => Change::Blocked,
-                (true, false) => Change::Cleared,
-                _ => continue,
-            };
-            let notice = Notice::new(change, (service, part), record);
-            self.notices.push(notice);
+            let (is_unsent, is_blocked) = (record.unsent, record.blocked.is_some());
+            let change = if is_blocked { Change::Blocked } else { Change::Cleared };
+            let notice =
+                (was_blocked != is_blocked).then(|| Notice::new(change, (service, part), record));
+            self.notices.extend(notice);
+            self.has_unsent |= is_unsent;
+            self.last_end = self.last_end.max(now);
         }
     }
 
@@ -374,6 +394,7 @@
         let due = self.records.iter_mut().filter(|(_, r)| r.unsent || r.is_weighty());
         let mut due: Vec<_> = due.collect();
         due.sort_by_key(|(_, r)| std::cmp::Reverse((r.unsent, r.is_decided(), r.ends())));
+        self.has_unsent = due.iter().skip(MAX_SUSPECTS).any(|(_, record)| record.unsent);
         let sent = due.into_iter().take(MAX_SUSPECTS);
         sent.map(|((service, part), record)| {
             record.unsent = false;
@@ -394,7 +415,7 @@
     /// Returns whether something changed that other VMs should learn at once.
     #[must_use]
     pub fn has_changes(&self) -> bool {
-        self.records.values().any(|record| record.unsent)
+        self.has_unsent
     }
 
     /// Takes the changes since the last call.
@@ -470,6 +491,7 @@
         }
         record.blocked = Some(now);
         record.unsent = true;
+        self.has_unsent = true;
         let notice = Notice::new(Change::Blocked, (service, part), record);
         self.notices.push(notice);
     }
--- a/crates/poison/src/record.rs
+++ b/crates/poison/src/record.rs
@@ -18,7 +18,7 @@
 
 /// Time for which it may be seen that a server that seemed to end answers others. A server that did
 /// end is away for longer.
-const REFUTATION_TIME: Span = Span::from_secs(1);
+pub(crate) const REFUTATION_TIME: Span = Span::from_secs(1);
 /// Time from an end from which an answer shows that the server did not end. Answers that were
 /// received before may be processed later.
 const REFUTATION_DELAY: Span = Span::from_millis(100);
