Take fractions and zero in every number of the settings

Change: numbers are read as integers or floats; counts of what may be used on top are rounded down, disks to be borne up, times are exact to the microsecond. Times above 1e9 s are cut, so that adding one to a point in time does not overflow.

--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -11,7 +11,10 @@
 use crate::keys::{PEER_KEYS, SECRET_KEYS, TIMEOUT_KEYS, TOP_KEYS};
 
 /// Default of `max_body`, in bytes.
-const DEFAULT_MAX_BODY: u64 = 1 << 20;
+const DEFAULT_MAX_BODY: f64 = 1_048_576.0;
+/// Longest time that a setting may set, in seconds. Longer ones are cut to it, so that adding them to
+/// a point in time does not overflow.
+pub(crate) const MAX_SECONDS: f64 = 1e9;
 /// Minimum length of the secret shared by entry VMs, in bytes.
 const MIN_CLUSTER_SECRET: usize = 16;
 
@@ -99,7 +102,7 @@
     pub data: Option<PathBuf>,
     /// VMs that create the replicated log, an odd number.
     pub founders: Vec<VmName>,
-    /// Maximum length of a request body in bytes.
+    /// Maximum length of a request body in bytes. A fraction is rounded down.
     pub max_body: usize,
     /// The other entry VMs.
     pub peers: Vec<Peer>,
@@ -163,7 +166,7 @@
         let admin = self.address(table, "", "admin");
         let peers_listen = self.address(table, "", "peers_listen");
         let data = self.optional_text(table, "", "data").map(PathBuf::from);
-        let max_body = self.number(table, "", "max_body", DEFAULT_MAX_BODY);
+        let max_body = self.positive(table, "", "max_body", DEFAULT_MAX_BODY);
         let peers = self.peers(table);
         let founders = self.founders(table, vm.as_ref(), &peers);
         let timeouts = self.timeouts(table);
@@ -177,7 +180,7 @@
             peers_listen: peers_listen?,
             data,
             founders,
-            max_body: usize::try_from(max_body).unwrap_or(usize::MAX),
+            max_body: usize::try_from(floor(max_body)).unwrap_or(usize::MAX),
             peers,
             timeouts,
             secrets: secrets?,
@@ -263,27 +266,54 @@
         self.parsed(table, prefix, key, parse)
     }
 
-    /// Returns a whole number above 0, or `default` if the key is missing. Adds a fault for any
-    /// other value.
-    pub(crate) fn number(
+    /// Returns a number above 0, or `default` if the key is missing. Adds a fault for any other
+    /// value.
+    pub(crate) fn positive(
         &mut self,
         table: &DeTable<'_>,
         prefix: &str,
         key: &str,
-        default: u64,
-    ) -> u64 {
+        default: f64,
+    ) -> f64 {
+        self.amount(table, (prefix, key), default, ("above 0", |n| n > 0.0))
+    }
+
+    /// Returns a number of 0 or more, or `default` if the key is missing. Adds a fault for any other
+    /// value.
+    pub(crate) fn non_negative(
+        &mut self,
+        table: &DeTable<'_>,
+        prefix: &str,
+        key: &str,
+        default: f64,
+    ) -> f64 {
+        self.amount(table, (prefix, key), default, ("of 0 or more", |n| n >= 0.0))
+    }
+
+    /// Returns an integer or a float in the range that `accepts` checks and its text describes.
+    fn amount(
+        &mut self,
+        table: &DeTable<'_>,
+        (prefix, key): (&str, &str),
+        default: f64,
+        (range, accepts): (&str, fn(f64) -> bool),
+    ) -> f64 {
         let Some(value) = table.get(key) else {
             return default;
         };
-        let number = value.get_ref().as_integer();
-        let number = number.and_then(|n| u64::from_str_radix(n.as_str(), n.radix()).ok());
-        if let Some(number) = number.filter(|n| *n > 0) {
+        if let Some(number) = number_of(value).filter(|n| n.is_finite() && accepts(*n)) {
             return number;
         }
-        self.fault(&join(prefix, key), Some(value), "must be a whole number above 0");
+        let why = format!("{} is not a number {range}", self.source(value));
+        self.fault(&join(prefix, key), Some(value), why);
         default
     }
 
+    /// Returns the text of a value as the file has it.
+    pub(crate) fn source(&self, value: &Value<'_>) -> &str {
+        self.text.get(value.span()).unwrap_or_default()
+    }
+
     fn peers(&mut self, table: &DeTable<'_>) -> Vec<Peer> {
         let Some(value) = table.get("peers") else {
             return Vec::new();
@@ -356,14 +386,14 @@
         let timeouts = found.flatten().unwrap_or(&empty);
         self.reject_unknown("waits", timeouts, TIMEOUT_KEYS);
         let mut ms =
-            |key, default| Duration::from_millis(self.number(timeouts, "waits", key, default));
+            |key, default| duration(self.positive(timeouts, "waits", key, default) / 1_000.0);
         Timeouts {
-            header: ms("header_ms", 10_000),
-            connect: ms("connect_ms", 500),
-            head: ms("head_ms", 60_000),
-            idle: ms("idle_ms", 30_000),
-            deadline: ms("deadline_ms", 30_000),
-            stop: ms("stop_ms", 120_000),
+            header: ms("header_ms", 10_000.0),
+            connect: ms("connect_ms", 500.0),
+            head: ms("head_ms", 60_000.0),
+            idle: ms("idle_ms", 30_000.0),
+            deadline: ms("deadline_ms", 30_000.0),
+            stop: ms("stop_ms", 120_000.0),
         }
     }
 
@@ -404,6 +434,31 @@
     }
 }
 
+/// Returns the value of an integer or a float; `None` for any other type.
+fn number_of(value: &Value<'_>) -> Option<f64> {
+    if let Some(integer) = value.get_ref().as_integer() {
+        let number = i128::from_str_radix(integer.as_str(), integer.radix()).ok()?;
+        return number.to_string().parse().ok();
+    }
+    value.get_ref().as_float()?.as_str().parse().ok()
+}
+
+/// Rounds a number of 0 or more down.
+#[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "`as` saturates")]
+pub(crate) fn floor(number: f64) -> u64 {
+    number as u64
+}
+
+/// Rounds a number of 0 or more up.
+pub(crate) fn ceil(number: f64) -> u64 {
+    floor(number.ceil())
+}
+
+/// Returns the duration of a number of seconds, at most [`MAX_SECONDS`].
+pub(crate) fn duration(seconds: f64) -> Duration {
+    Duration::from_secs_f64(seconds.min(MAX_SECONDS))
+}
+
 fn join(prefix: &str, key: &str) -> String {
     if prefix.is_empty() { key.to_owned() } else { format!("{prefix}.{key}") }
 }
--- a/crates/settings/src/role.rs
+++ b/crates/settings/src/role.rs
@@ -7,7 +7,9 @@
 use model::{Span, VmName, ZoneName};
 use toml::de::DeTable;
 
-use crate::check::{Checker, Fault, Settings, parse, parse_toml};
+use crate::check::{
+    Checker, Fault, MAX_SECONDS, Settings, ceil, duration, floor, parse, parse_toml,
+};
 
 /// Keys at the top level of the file.
 const TOP_KEYS: &[&str] = &[
@@ -47,15 +49,15 @@
 const UNBOUNDED_LEASE: Span = Span::from_secs(86_400);
 /// Number of announcement intervals after which a backend server that does not announce itself
 /// counts as silent.
-const MISSED_HEARTBEATS: u64 = 3;
+const MISSED_HEARTBEATS: f64 = 3.0;
 /// Default of `heartbeat_ms`, the interval of announcements, in milliseconds.
-const DEFAULT_HEARTBEAT_MS: u64 = 1_000;
+const DEFAULT_HEARTBEAT_MS: f64 = 1_000.0;
 /// Default of `stop_s`, the time from the stop signal until the process is killed, in seconds.
-const DEFAULT_STOP_S: u64 = 10;
+const DEFAULT_STOP_S: f64 = 10.0;
 /// Default of `retry_window_s`, the window of the retry budget, in seconds.
-const DEFAULT_RETRY_WINDOW_S: u64 = 10;
+const DEFAULT_RETRY_WINDOW_S: f64 = 10.0;
 /// Default of `quota_window_s`, the window in which quotas are counted, in seconds.
-const DEFAULT_QUOTA_WINDOW_S: u64 = 1;
+const DEFAULT_QUOTA_WINDOW_S: f64 = 1.0;
 
 /// The role of a VM in a deployment.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -78,7 +80,8 @@
     pub key_lease: Span,
     /// Retry budget of a service, as a ratio of its first sends in a window.
     pub retry_ratio: f64,
-    /// Number of retries of a service allowed in addition in every window, across all entry VMs.
+    /// Number of retries of a service allowed in addition in every window, across all entry VMs. A
+    /// fraction is rounded down.
     pub retry_slack: u32,
     /// Length of the window of the retry budget.
     pub retry_window: Span,
@@ -86,7 +89,7 @@
     pub quota_window: Span,
     /// Share of a quota by which usage may exceed it in a window.
     pub quota_overage: f64,
-    /// Number of units by which usage may exceed a quota in addition.
+    /// Number of units by which usage may exceed a quota in addition. A fraction is rounded down.
     pub quota_slack: u64,
     /// Time from the stop signal until the process is killed.
     pub stop_time: Duration,
@@ -118,7 +121,8 @@
     pub seeds: Vec<VmName>,
     /// Whether the seeds create a new replicated log if none of them belongs to one.
     pub founding: bool,
-    /// Number of disks whose simultaneous loss the replicated log tolerates. Defaults to 1.
+    /// Number of disks whose simultaneous loss the replicated log tolerates. Defaults to 1. A
+    /// fraction is rounded up.
     pub losses: usize,
     /// Data folder. Always set for a control VM.
     pub data: Option<PathBuf>,
@@ -167,7 +171,7 @@
 /// assert_eq!(settings.seeds[0].as_str(), "10.1.0.27");
 ///
 /// let faults = settings::parse_file(&text.replace("[7600, 7615]", "[]")).unwrap_err();
-/// assert_eq!(faults[0].to_string(), "line 8: internal_ports: must be two ports or more");
+/// assert_eq!(faults[0].to_string(), "line 8: internal_ports: [] must be two ports or more");
 /// ```
 pub fn parse_file(text: &str) -> Result<File, Vec<Fault>> {
     let table = parse_toml(text)?;
@@ -201,7 +205,7 @@
     let internal_port = internal_port(checker, table);
     let seeds = seeds(checker, table);
     let founding = flag(checker, table, "founding");
-    let losses = checker.number_or_zero(table, "", "losses", 1);
+    let losses = checker.non_negative(table, "", "losses", 1.0);
     let data = checker.optional_text(table, "", "data").map(PathBuf::from);
     let secret = checker.text(table, "", "secret").map(ToOwned::to_owned);
     let bounds = bounds(checker, table);
@@ -222,7 +226,7 @@
         internal_port: internal_port?,
         seeds,
         founding,
-        losses: usize::try_from(losses).unwrap_or(usize::MAX),
+        losses: usize::try_from(ceil(losses)).unwrap_or(usize::MAX),
         data,
         secret: secret?,
         bounds,
@@ -238,7 +242,9 @@
         u16::from_str_radix(number.as_str(), number.radix()).ok()
     });
     if first.is_none() {
-        checker.fault("internal_ports", value, "must be two ports or more");
+        let source = value.map_or("", |value| checker.source(value));
+        let why = format!("{source} must be two ports or more");
+        checker.fault("internal_ports", value, why.trim_start());
     }
     first
 }
@@ -282,54 +288,31 @@
     }
     let bounds = found.flatten().unwrap_or(&empty);
     checker.reject_unknown("bounds", bounds, BOUND_KEYS);
-    let heartbeat = checker.number(bounds, "bounds", "heartbeat_ms", DEFAULT_HEARTBEAT_MS);
-    let keys = checker.number_or_zero(bounds, "bounds", "keys_ms", 0);
-    let lease = Span::from_secs_f64(Span::from_millis(keys).as_secs_f64() * KEY_LEASE_SHARE);
-    let slack = checker.number_or_zero(bounds, "bounds", "retry_slack", 0);
-    let window = checker.number(bounds, "bounds", "retry_window_s", DEFAULT_RETRY_WINDOW_S);
-    let quota_window = checker.number(bounds, "bounds", "quota_window_s", DEFAULT_QUOTA_WINDOW_S);
-    let stop = checker.number(bounds, "bounds", "stop_s", DEFAULT_STOP_S);
+    let mut positive = |key, default| checker.positive(bounds, "bounds", key, default);
+    let heartbeat = positive("heartbeat_ms", DEFAULT_HEARTBEAT_MS) / 1_000.0;
+    let retry_window = positive("retry_window_s", DEFAULT_RETRY_WINDOW_S);
+    let quota_window = positive("quota_window_s", DEFAULT_QUOTA_WINDOW_S);
+    let mut non_negative = |key, default| checker.non_negative(bounds, "bounds", key, default);
+    let keys = non_negative("keys_ms", 0.0) / 1_000.0;
+    let stop = non_negative("stop_s", DEFAULT_STOP_S);
+    let (retry_ratio, retry_slack) =
+        (non_negative("retry_ratio", 0.0), non_negative("retry_slack", 0.0));
+    let (quota_overage, quota_slack) =
+        (non_negative("quota_overage", 0.0), non_negative("quota_slack", 0.0));
     Bounds {
-        silence: Span::from_millis(heartbeat * MISSED_HEARTBEATS),
-        key_lease: if keys == 0 { UNBOUNDED_LEASE } else { lease },
-        retry_ratio: checker.ratio(bounds, "bounds", "retry_ratio"),
-        retry_slack: u32::try_from(slack).unwrap_or(u32::MAX),
-        retry_window: Span::from_secs(window),
-        quota_window: Span::from_secs(quota_window),
-        quota_overage: checker.ratio(bounds, "bounds", "quota_overage"),
-        quota_slack: checker.number_or_zero(bounds, "bounds", "quota_slack", 0),
-        stop_time: Duration::from_secs(stop),
+        silence: span(heartbeat * MISSED_HEARTBEATS),
+        key_lease: if keys > 0.0 { span(keys * KEY_LEASE_SHARE) } else { UNBOUNDED_LEASE },
+        retry_ratio,
+        retry_slack: u32::try_from(floor(retry_slack)).unwrap_or(u32::MAX),
+        retry_window: span(retry_window),
+        quota_window: span(quota_window),
+        quota_overage,
+        quota_slack: floor(quota_slack),
+        stop_time: duration(stop),
     }
 }
 
-impl Checker<'_> {
-    /// Returns a whole number of 0 or more, or `default` if the key is missing.
-    fn number_or_zero(
-        &mut self,
-        table: &DeTable<'_>,
-        prefix: &str,
-        key: &str,
-        default: u64,
-    ) -> u64 {
-        let integer = table.get(key).and_then(|v| v.get_ref().as_integer());
-        if integer.is_some_and(|n| n.as_str() == "0") {
-            return 0;
-        }
-        self.number(table, prefix, key, default)
-    }
-
-    /// Returns an integer or a float of 0 or more, or 0 if the key is missing.
-    fn ratio(&mut self, table: &DeTable<'_>, prefix: &str, key: &str) -> f64 {
-        let Some(value) = table.get(key) else {
-            return 0.0;
-        };
-        let float = value.get_ref().as_float().map(|f| f.as_str().to_owned());
-        let integer = value.get_ref().as_integer().map(|n| n.as_str().to_owned());
-        let ratio = float.or(integer).and_then(|text| text.parse::<f64>().ok());
-        if ratio.is_none_or(|r| r < 0.0) {
-            let path = if prefix.is_empty() { key.to_owned() } else { format!("{prefix}.{key}") };
-            self.fault(&path, Some(value), "must be a number of 0 or more");
-        }
-        ratio.unwrap_or(0.0)
-    }
+/// Returns the span of a number of seconds, at least a microsecond.
+fn span(seconds: f64) -> Span {
+    Span::from_secs_f64(seconds.min(MAX_SECONDS)).max(Span::from_micros(1))
 }
