--- a/crates/broker/src/action.rs
+++ b/crates/broker/src/action.rs
@@ -128,3 +128,12 @@
     /// For each tier, the number of waiting tickets and their predicted seconds of work.
     pub waiting: [(u32, f64); TIER_COUNT],
 }
+
+impl VmLoad {
+    /// Returns whether the VM has nothing in flight and nothing waiting, and reports no slowness.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        let waits = self.waiting.iter().any(|(tickets, _)| *tickets > 0);
+        self.servers.is_empty() && self.slowness.is_empty() && !waits
+    }
+}
--- a/crates/keeper/src/calls.rs
+++ b/crates/keeper/src/calls.rs
@@ -44,8 +44,10 @@
 /// An entry VM's long poll for changes.
 #[derive(Debug)]
 pub(crate) struct PendingSync {
+    pub(crate) from: VmName,
     pub(crate) sync: Sync,
-    /// Digest of the control VMs and entry VMs at the time of the call.
+    /// Digest of the control VMs and entry VMs that the caller has or, if it has none, at the time of
+    /// the call.
     pub(crate) members_digest: u64,
     pub(crate) deadline: Time,
 }
@@ -76,8 +78,10 @@
         self.holds.insert(call_id, PendingHold { server, confirmed, deadline, resend_at });
     }
 
-    pub(crate) fn add_sync(&mut self, now: Time, call_id: u64, sync: Sync, members_digest: u64) {
-        self.syncs
-            .insert(call_id, PendingSync { sync, members_digest, deadline: now + SYNC_TIMEOUT });
+    pub(crate) fn add_sync(&mut self, now: Time, call_id: u64, call: (VmName, Sync), digest: u64) {
+        let (from, sync) = call;
+        let members_digest = if sync.members == 0 { digest } else { sync.members };
+        let deadline = now + SYNC_TIMEOUT;
+        self.syncs.insert(call_id, PendingSync { from, sync, members_digest, deadline });
     }
 }
--- a/crates/keeper/src/syncs.rs
+++ b/crates/keeper/src/syncs.rs
@@ -11,7 +11,7 @@
     sync::Arc,
 };
 
-use model::{Span, VmName};
+use model::{Span, VmName, ZoneName};
 use poison::Suspect;
 
 use crate::{
@@ -29,13 +29,13 @@
         self.entry_vms.insert(from.clone(), entry);
         // A starting VM has not yet received the usage of its previous process, so that record is
         // not overwritten.
-        if !sync.starting {
-            let key = (from, sync.spent.lineage);
+        if !sync.starting && !sync.spent.usages.is_empty() {
+            let key = (from.clone(), sync.spent.lineage);
             self.spending.insert(key, (self.now, sync.spent.clone()));
         }
         self.merge_suspects(&sync.suspects);
         let digest = self.members_digest();
-        self.calls.add_sync(self.now, call_id, sync, digest);
+        self.calls.add_sync(self.now, call_id, (from, sync), digest);
     }
 
     /// Merges parts of requests under which servers ended.
@@ -59,14 +59,15 @@
         (self.setup.incarnation, self.registry.revision())
     }
 
-    /// Returns a digest of the known entry VMs and live control VMs, compared to detect changes.
+    /// Returns a digest of the known entry VMs and live control VMs, compared to detect changes. It is
+    /// never 0.
     pub(crate) fn members_digest(&self) -> u64 {
         let mut hasher = DefaultHasher::new();
         for (vm, (_, zone)) in &self.entry_vms {
             (vm, zone).hash(&mut hasher);
         }
         self.live_controls().hash(&mut hasher);
-        hasher.finish()
+        hasher.finish().max(1)
     }
 
     /// Returns the control VMs from which a heartbeat arrived within [`PEER_TIMEOUT`], and this one.
@@ -100,12 +101,12 @@
             })
             .collect::<Vec<_>>();
         for (call_id, pending) in ready {
-            let synced = self.sync_answer(&pending.sync);
+            let synced = self.sync_answer(&pending.from, &pending.sync, digest);
             self.reply(call_id, Answer::Synced(Box::new(synced)));
         }
     }
 
-    pub(crate) fn sync_answer(&mut self, sync: &Sync) -> Synced {
+    fn sync_answer(&mut self, from: &VmName, sync: &Sync, members: u64) -> Synced {
         let suspects = if sync.starting { self.suspects.known(self.now) } else { Vec::new() };
         let plan = self.replica.state();
         let current = self.registry_version();
@@ -117,23 +118,28 @@
             registry: current,
             servers: self.registry.changed_since(known).collect(),
             controls: self.live_controls(),
-            entries: self
-                .entry_vms
-                .iter()
-                .map(|(vm, (_, zone))| (vm.clone(), zone.clone()))
-                .collect(),
-            spent: if sync.starting { self.recent_spending() } else { None },
+            entries: if sync.members == members { Vec::new() } else { self.entries() },
+            spent: if sync.starting { self.recent_spending(from) } else { None },
             suspects,
+            members,
         }
     }
 
-    /// Returns the quota usage that entry VMs reported within [`SPENDING_WINDOW`], or `None` if this
+    /// Returns the entry VMs that polled recently, with their availability zones.
+    fn entries(&self) -> Vec<(VmName, ZoneName)> {
+        self.entry_vms.iter().map(|(vm, (_, zone))| (vm.clone(), zone.clone())).collect()
+    }
+
+    /// Returns the quota usage that an entry VM reported within [`SPENDING_WINDOW`], or `None` if this
     /// process has not run long enough to have received all of it.
-    pub(crate) fn recent_spending(&self) -> Option<Vec<(VmName, Spending)>> {
+    fn recent_spending(&self, of: &VmName) -> Option<Vec<(VmName, Spending)>> {
         if self.started.is_none_or(|at| self.now < at + SPENDING_WINDOW) {
             return None;
         }
-        let recent = self.spending.iter().filter(|(_, (at, _))| self.now < *at + SPENDING_WINDOW);
+        let recent = self
+            .spending
+            .iter()
+            .filter(|((vm, _), (at, _))| vm == of && self.now < *at + SPENDING_WINDOW);
         let aged = recent.map(|((vm, _), (at, spent))| (vm.clone(), spent.after(self.now - *at)));
         Some(aged.collect())
     }
--- a/crates/keeper/src/wire.rs
+++ b/crates/keeper/src/wire.rs
@@ -116,14 +116,17 @@
     pub plan: u64,
     /// Incarnation and registry revision of this control VM that the entry VM has; zeros if none.
     pub registry: (u64, u64),
-    /// Quota usage of the entry VM.
+    /// Quota usage of the entry VM. Empty if the control VM was told it recently.
     pub spent: Spending,
-    /// Whether the entry VM is starting and asks for what all entry VMs reported.
+    /// Whether the entry VM is starting and asks for what its former processes reported.
     pub starting: bool,
     /// Parts of requests under which servers ended, as far as the entry VM knows. Empty if it told
     /// the control VM the same before.
     #[serde(default)]
     pub suspects: Vec<Suspect>,
+    /// Digest of the entry VMs and control VMs that the entry VM has from this control VM; 0 if none.
+    #[serde(default)]
+    pub members: u64,
 }
 
 /// The answer to [`Sync`], sent when something changed or the poll timed out.
@@ -143,14 +146,18 @@
     pub servers: Vec<ServerStatus>,
     /// The sender and the control VMs from which it received a heartbeat recently.
     pub controls: Vec<VmName>,
-    /// Entry VMs that polled recently, with their availability zones.
+    /// Entry VMs that polled recently, with their availability zones. Empty if the entry VM has them
+    /// already, according to the digest that it sent.
     pub entries: Vec<(VmName, ZoneName)>,
-    /// Recent quota usage of all entry VMs, for one that is starting; `None` otherwise, and if the
-    /// sender has not run long enough to know all of it.
+    /// Recent quota usage of the entry VM's former processes, if it is starting; `None` otherwise, and
+    /// if the sender has not run long enough to know all of it.
     pub spent: Option<Vec<(VmName, Spending)>>,
     /// Parts of requests under which servers ended, for an entry VM that is starting.
     #[serde(default)]
     pub suspects: Vec<Suspect>,
+    /// Digest of `entries` and `controls`, to be sent with the next [`Sync`].
+    #[serde(default)]
+    pub members: u64,
 }
 
 impl Synced {
@@ -167,6 +174,7 @@
             entries: Vec::new(),
             spent: None,
             suspects: Vec::new(),
+            members: 0,
         }
     }
 }
--- a/crates/keeper/tests/control/registry.rs
+++ b/crates/keeper/tests/control/registry.rs
@@ -24,6 +24,7 @@
         spent: Spending::default(),
         starting: false,
         suspects: Vec::new(),
+        members: 0,
     }
 }
 
--- a/crates/region/src/region.rs
+++ b/crates/region/src/region.rs
@@ -359,11 +359,21 @@
         let homes = self.selector.homes().map(|(s, vm)| (s.clone(), vm.clone())).collect();
         let selector = &self.selector;
         let disputed = self.brokers.iter_mut().filter(|(s, _)| selector.is_disputed(now, s));
-        let loads =
-            disputed.map(|(service, broker)| (service.clone(), broker.load_report())).collect();
+        let loads = disputed.map(|(service, broker)| (service.clone(), broker.load_report()));
+        let loads = loads.filter(|(_, load)| !load.is_empty()).collect();
         Gossip { able: self.selector.is_eligible(), homes, loads }
     }
 
+    /// Sets the time without news of a VM after which it is no candidate for a home.
+    pub fn set_peer_timeout(&mut self, timeout: Span) {
+        self.selector.set_peer_timeout(timeout);
+    }
+
+    /// Records that another VM is live and its gossip has not changed.
+    pub fn refresh(&mut self, now: Time, vm: &VmName) {
+        self.selector.refresh(now, vm);
+    }
+
     /// Processes the gossip of another VM.
     pub fn receive_gossip(&mut self, now: Time, vm: &VmName, gossip: Gossip) {
         if !gossip.able && self.selector.homes().any(|(_, home)| home == vm) {
--- a/crates/region/src/selection.rs
+++ b/crates/region/src/selection.rs
@@ -10,7 +10,7 @@
 
 use model::{ServiceName, Span, Time, VmName, unit_hash};
 
-/// A VM from which no gossip has arrived for this long is not a candidate. Covers several of the
+/// Default of the time without news of a VM after which it is not a candidate. Covers several of the
 /// intervals at which VMs gossip while nothing changes, as a few of the messages may be lost.
 const PEER_TIMEOUT: Span = Span::from_millis(700);
 /// How long this VM does not select a home again after the home's timeout. Within that time the
@@ -31,6 +31,7 @@
 pub(crate) struct HomeSelector {
     me: VmName,
     eligible: bool,
+    peer_timeout: Span,
     peers: BTreeMap<VmName, Peer>,
     /// VMs that are not selected before the given time.
     excluded: BTreeMap<VmName, Time>,
@@ -40,7 +41,7 @@
 impl HomeSelector {
     pub(crate) fn new(me: VmName) -> Self {
         let (peers, excluded, homes) = (BTreeMap::new(), BTreeMap::new(), BTreeMap::new());
-        Self { me, eligible: true, peers, excluded, homes }
+        Self { me, eligible: true, peer_timeout: PEER_TIMEOUT, peers, excluded, homes }
     }
 
     /// Sets whether this VM can be a home.
@@ -52,6 +53,17 @@
         self.eligible
     }
 
+    pub(crate) fn set_peer_timeout(&mut self, timeout: Span) {
+        self.peer_timeout = timeout;
+    }
+
+    /// Records that another VM is live.
+    pub(crate) fn refresh(&mut self, now: Time, vm: &VmName) {
+        if let Some(peer) = self.peers.get_mut(vm) {
+            peer.received_at = now;
+        }
+    }
+
     /// Records the gossip of another VM.
     pub(crate) fn record(
         &mut self,
@@ -81,14 +93,14 @@
     /// Returns whether a live VM has selected another home for a service than this VM has.
     pub(crate) fn is_disputed(&self, now: Time, service: &ServiceName) -> bool {
         let home = self.home(service);
-        let mut live = self.peers.values().filter(|p| now < p.received_at + PEER_TIMEOUT);
+        let mut live = self.peers.values().filter(|p| now < p.received_at + self.peer_timeout);
         live.any(|p| p.homes.get(service).is_some_and(|h| h != home))
     }
 
     /// Returns the share of the live VMs, this one included, that have selected this VM as the home of
     /// a service. It is above 0, as this VM may serve its own requests.
     pub(crate) fn followers(&self, now: Time, service: &ServiceName) -> f64 {
-        let live = self.peers.values().filter(|p| now < p.received_at + PEER_TIMEOUT);
+        let live = self.peers.values().filter(|p| now < p.received_at + self.peer_timeout);
         let (mut all, mut mine) = (1_u32, 1_u32);
         for peer in live {
             all += 1;
@@ -100,7 +112,8 @@
     /// Selects the home of a service. Returns the previous home if it changes.
     pub(crate) fn select(&mut self, now: Time, service: &ServiceName) -> Option<VmName> {
         self.excluded.retain(|_, until| now < *until);
-        let live = |p: &Peer| now < p.received_at + PEER_TIMEOUT;
+        let timeout = self.peer_timeout;
+        let live = |p: &Peer| now < p.received_at + timeout;
         let mut votes: BTreeMap<&VmName, u32> = BTreeMap::new();
         let others = self.peers.values().filter(|p| live(p)).filter_map(|p| p.homes.get(service));
         for home in others.chain(self.homes.get(service)) {
--- a/crates/relay/src/control.rs
+++ b/crates/relay/src/control.rs
@@ -16,7 +16,7 @@
 };
 
 use host::{ControlProtocol, peer_address};
-use keeper::{Phase, Registry, ServerStatus, Sync, Synced};
+use keeper::{Phase, Registry, ServerStatus, Spending, Sync, Synced};
 use model::{ServerId, Span, Time, VmName, ZoneName};
 use peer::Links;
 use tokio::sync::watch;
@@ -45,6 +45,9 @@
 #[derive(Debug, Default)]
 struct ControlReport {
     registry: (u64, u64),
+    /// Digest of the entry VMs and control VMs that it listed last.
+    members: u64,
+    entries: Vec<(VmName, ZoneName)>,
     servers: BTreeMap<ServerId, ServerStatus>,
     last_seen: Time,
 }
@@ -145,8 +148,16 @@
         let mut connected = false;
         // The incarnation of the control VM and the revision of the suspects that it was told.
         let mut told = None;
+        let mut told_spending = None;
         loop {
             let sent = clock::since_boot();
+            let spending = self.handle.spending();
+            let is_news = told_spending.as_ref().is_none_or(|told| !Arc::ptr_eq(told, &spending));
+            let (registry, members) = self
+                .cluster()
+                .reports
+                .get(&control)
+                .map_or(((0, 0), 0), |report| (report.registry, report.members));
             let suspects = self.handle.known_suspects();
             let is_told = told.is_some_and(|(_, revision)| revision == suspects.revision);
             let sync = Sync {
@@ -154,10 +165,11 @@
                 zone: self.zone.clone(),
                 stopping: self.stopping.load(Ordering::Relaxed),
                 plan: self.plan_version(),
-                registry: self.cluster().reports.get(&control).map_or((0, 0), |s| s.registry),
-                spent: self.handle.spending(),
+                registry,
+                spent: if is_news { Spending::clone(&spending) } else { Spending::default() },
                 starting: self.plan_version() == 0,
                 suspects: if is_told { Vec::new() } else { suspects.known.at(sent) },
+                members,
             };
             let answer = self.links.ask(&control, &sync, POLL_TIMEOUT).await;
             if answer.is_ok() != connected {
@@ -173,17 +185,18 @@
                     }
                 }
             }
-            match answer {
-                Ok(synced) => {
-                    let (incarnation, _) = synced.registry;
-                    told = match told {
-                        // It has started anew and was not told yet.
-                        Some((before, _)) if is_told && before != incarnation => None,
-                        _ => Some((incarnation, suspects.revision)),
-                    };
-                    self.apply(sent, &control, synced);
-                }
-                Err(_) => tokio::time::sleep(RETRY_DELAY).await,
+            if let Ok(synced) = answer {
+                let (incarnation, _) = synced.registry;
+                told = match told {
+                    // It has started anew and was not told yet.
+                    Some((before, _)) if is_told && before != incarnation => None,
+                    _ => Some((incarnation, suspects.revision)),
+                };
+                told_spending = Some(spending);
+                self.apply(sent, &control, synced);
+            } else {
+                told_spending = None;
+                tokio::time::sleep(RETRY_DELAY).await;
             }
         }
     }
@@ -201,12 +214,12 @@
         self.last_answer.store(now.as_micros(), Ordering::Relaxed);
         let mut cluster = self.cluster();
         cluster.controls.extend(synced.controls);
-        for (vm, zone) in synced.entries {
-            cluster.entries.insert(vm, (zone, now));
-        }
         let changed = {
             let report = cluster.reports.entry(control.clone()).or_default();
             report.last_seen = now;
+            if synced.members == 0 || synced.members != report.members {
+                (report.members, report.entries) = (synced.members, synced.entries);
+            }
             if report.registry.0 != synced.registry.0 {
                 report.servers.clear();
             }
@@ -217,9 +230,14 @@
             }
             changed
         };
+        let listed = cluster.reports.get(control).map(|report| report.entries.clone());
+        let mut is_new = false;
+        for (vm, zone) in listed.into_iter().flatten() {
+            is_new |= cluster.entries.insert(vm, (zone, now)).is_none();
+        }
         let entries = cluster.entries.len();
         cluster.entries.retain(|_, (_, last_seen)| now < *last_seen + ENTRY_TIMEOUT);
-        if changed || entries != cluster.entries.len() {
+        if changed || is_new || entries != cluster.entries.len() {
             let fleet = cluster.fleet(now, (&self.vm, &self.zone));
             log_fleet(&fleet, control);
             let servers = fleet.servers.iter().map(|(server, _)| server);
--- a/crates/relay/src/event_loop.rs
+++ b/crates/relay/src/event_loop.rs
@@ -21,14 +21,13 @@
 use tokio::sync::oneshot;
 
 use crate::{
-    datagram::{Datagram, share_interval},
+    datagram::Datagram,
+    quota::SPENDING_INTERVAL,
     scheduler::{Decision, Fleet, Placement, PlacementRequest, Scheduler},
 };
 
 /// Interval of the scheduler's ticks.
 const TICK_INTERVAL: Duration = Duration::from_millis(10);
-/// Interval of the reports to the other entry VMs when nothing changes.
-const IDLE_SHARE_INTERVAL: Duration = Duration::from_millis(200);
 /// Minimum interval between two messages about parts under which servers ended.
 const SUSPECTS_INTERVAL: Duration = Duration::from_millis(50);
 /// Interval of these messages while nothing changes, for VMs that missed earlier ones.
@@ -98,9 +97,9 @@
         self.send(Command::RestoreUsage(usage));
     }
 
-    /// Returns this VM's recent usage of quotas as of its last report to the other entry VMs.
-    pub(crate) fn spending(&self) -> Spending {
-        Spending::clone(&self.spending.load())
+    /// Returns this VM's recent usage of quotas as of its last report.
+    pub(crate) fn spending(&self) -> Arc<Spending> {
+        self.spending.load_full()
     }
 
     /// Returns what control VMs are to keep of parts under which servers ended.
@@ -237,7 +236,6 @@
     next_told: usize,
     waiting: HashMap<RequestId, oneshot::Sender<Placement>>,
     out: Vec<Decision>,
-    has_changes: bool,
     spending: Arc<ArcSwap<Spending>>,
     suspects: Arc<ArcSwap<KnownSuspects>>,
 }
@@ -262,7 +260,6 @@
         next_told: 0,
         waiting: HashMap::new(),
         out: Vec::new(),
-        has_changes: false,
         spending: Arc::clone(&spending),
         suspects: Arc::clone(&suspects),
     };
@@ -273,11 +270,10 @@
 impl<S: Environment> EventLoop<S> {
     fn run(mut self, commands: &mpsc::Receiver<Command>) {
         let start = Instant::now();
-        let (mut next_tick, mut next_share, mut next_idle_share) = (start, start, start);
-        let (mut next_usage, mut next_suspects, mut next_refresh) = (start, start, start);
+        let (mut next_tick, mut next_spending, mut next_usage) = (start, start, start);
+        let (mut next_suspects, mut next_refresh) = (start, start);
         loop {
-            let next = if self.has_changes { next_tick.min(next_share) } else { next_tick };
-            match commands.recv_timeout(next.saturating_duration_since(Instant::now())) {
+            match commands.recv_timeout(next_tick.saturating_duration_since(Instant::now())) {
                 Ok(command) => {
                     self.execute(command);
                     while let Ok(command) = commands.try_recv() {
@@ -300,14 +296,12 @@
             for (home, reports) in self.scheduler.take_limit_reports() {
                 self.environment.send(&[home], &Datagram::Limits(reports));
             }
-            if (self.has_changes && now >= next_share)
-                || now >= next_idle_share
-                || self.scheduler.has_urgent_changes()
-            {
-                self.has_changes = false;
-                next_share = now + Duration::from(share_interval(self.other_vms.len()));
-                next_idle_share = now + IDLE_SHARE_INTERVAL;
-                self.share();
+            for (vm, digest) in self.scheduler.take_digests(clock::since_boot()) {
+                self.environment.send(&[vm], &Datagram::Digest(digest));
+            }
+            if now >= next_spending {
+                next_spending = now + Duration::from(SPENDING_INTERVAL);
+                self.spending.store(Arc::new(self.scheduler.spending(clock::since_boot())));
             }
             if (self.scheduler.has_new_suspects() && now >= next_suspects) || now >= next_refresh {
                 next_suspects = now + SUSPECTS_INTERVAL;
@@ -353,13 +347,6 @@
         }
     }
 
-    /// Sends a report to all other entry VMs.
-    fn share(&mut self) {
-        let report = self.scheduler.load_report(clock::since_boot());
-        self.spending.store(Arc::new(self.scheduler.spending(clock::since_boot())));
-        self.environment.send(&self.other_vms, &Datagram::Load(report));
-    }
-
     fn execute(&mut self, command: Command) {
         let now = clock::since_boot();
         match command {
@@ -368,7 +355,6 @@
                 self.scheduler.submit(now, *request, &mut self.out);
             }
             Command::ResponseStarted(service, request) => {
-                self.has_changes = true;
                 self.scheduler.response_started(now, &service, request, &mut self.out);
             }
             Command::ReportSlowness(service, server, slowness) => {
@@ -380,7 +366,6 @@
                 }
             }
             Command::Finish(service, request, outcome) => {
-                self.has_changes = true;
                 self.scheduler.finish(now, &service, (request, outcome), &mut self.out);
             }
             Command::Withdraw(service, request) => {
@@ -402,7 +387,7 @@
                 self.scheduler.set_fleet(now, fleet, &mut self.out);
             }
             Command::Receive(datagram) => match *datagram {
-                Datagram::Load(report) => self.scheduler.receive_load(now, report),
+                Datagram::Digest(digest) => self.scheduler.receive_digest(now, digest),
                 Datagram::Frame(frame) => self.scheduler.receive_frame(now, frame, &mut self.out),
                 Datagram::Limits(reports) => self.scheduler.receive_limits(now, &reports),
                 Datagram::Suspects(suspects) => self.scheduler.receive_suspects(now, &suspects),
@@ -414,7 +399,6 @@
 
     fn deliver_decisions(&mut self) {
         for Decision { request, placement } in std::mem::take(&mut self.out) {
-            self.has_changes |= matches!(placement, Placement::Granted { .. });
             if let Some(reply) = self.waiting.remove(&request) {
                 // If the caller has disconnected, dropping the submission withdraws the request.
                 let _ = reply.send(placement);
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -24,13 +24,12 @@
 mod stream;
 
 pub use crate::{
-    datagram::LoadReport,
     dialect::{CallerRequest, Dialect, ForwardInfo, RequestFailure, ResponseInfo},
     error::Error,
     events::{EventError, EventSplitter},
     listen::serve_probes,
     node::{Relay, RelayConfig},
-    quota::{QuotaConfig, Quotas, RelayedUsage, UsageReport},
+    quota::{QuotaConfig, Quotas},
     restraint::{Cause, Notice, Restraints},
     retry_budget::RetryBudgets,
     scheduler::{Charge, Decision, Fleet, Placement, PlacementRequest, Scheduler},
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -70,7 +70,7 @@
     pub ready: SocketAddr,
     /// Port on which control VMs accept calls of other VMs.
     pub control_port: u16,
-    /// UDP port on which entry VMs exchange load reports.
+    /// UDP port on which entry VMs exchange messages.
     pub load_port: u16,
     /// Control VMs to poll at the start. They name the others.
     pub seeds: Vec<VmName>,
@@ -168,8 +168,9 @@
                 .change_context_lazy(peers)?;
         let budgets =
             RetryBudgets::new(config.retry_ratio, config.retry_slack, config.retry_window);
-        let quotas = Quotas::new(config.quotas, incarnation);
-        let scheduler = Scheduler::new(config.vm.clone(), incarnation, budgets, quotas);
+        let quotas = Quotas::new(config.quotas);
+        let place = (config.vm.clone(), config.zone.clone());
+        let scheduler = Scheduler::new(place, incarnation, budgets, quotas);
         let (plan_confirmed, stopping) =
             (Arc::new(AtomicU64::new(0)), Arc::new(AtomicBool::new(false)));
         let last_answer = Arc::new(AtomicU64::new(0));
--- a/crates/relay/src/scheduler.rs
+++ b/crates/relay/src/scheduler.rs
@@ -17,14 +17,11 @@
     ServerId, ServiceName, Span, Ticket, Time, VmName, ZoneName,
 };
 use poison::{Admission, Detector, Suspect};
-use region::{Frame, GrantDecision, LimitReport, Notice, Region, ServiceUsage};
+use region::{Frame, Gossip, GrantDecision, LimitReport, Notice, Region, ServiceUsage};
 use routing::{Plan, Quota};
+use spread::{Digest, Setup, Spread};
 
-use crate::{
-    datagram::{LoadReport, share_interval},
-    quota::Quotas,
-    retry_budget::RetryBudgets,
-};
+use crate::{quota::Quotas, retry_budget::RetryBudgets};
 
 /// Interval at which all servers are offered to the brokers again, so that a server that refused
 /// connections is retried.
@@ -120,8 +117,10 @@
 pub struct Scheduler {
     vm: VmName,
     incarnation: u64,
-    seq: u64,
     region: Region,
+    spread: Spread,
+    /// What each other VM told last.
+    gossip: BTreeMap<VmName, Gossip>,
     plan: Arc<Plan>,
     fleet: Fleet,
     quotas: Quotas,
@@ -131,8 +130,6 @@
     open: HashMap<RequestId, OpenRequest>,
     /// Limits that servers named in their last answer to this VM, in requests a second.
     limits: BTreeMap<ServerId, f64>,
-    /// Incarnation and sequence number of the last report of each other entry VM.
-    last_reports: BTreeMap<VmName, (u64, u64)>,
     next_offer: Time,
 }
 
@@ -145,22 +142,28 @@
 impl Scheduler {
     /// Creates a scheduler that has no plan and no servers yet.
     #[must_use]
-    pub fn new(vm: VmName, incarnation: u64, mut budgets: RetryBudgets, quotas: Quotas) -> Self {
+    pub fn new(
+        (vm, zone): (VmName, ZoneName),
+        incarnation: u64,
+        mut budgets: RetryBudgets,
+        quotas: Quotas,
+    ) -> Self {
         budgets.set_vms(DEFAULT_ENTRY_VMS);
+        let window = quotas.window();
         Self {
+            spread: Spread::new(Setup { vm: vm.clone(), zone, incarnation, window }),
+            gossip: BTreeMap::new(),
             region: Region::new(vm.clone(), incarnation),
             detector: Detector::new(vm.clone()),
             open: HashMap::new(),
             limits: BTreeMap::new(),
             vm,
             incarnation,
-            seq: 0,
             plan: Arc::default(),
             fleet: Fleet::default(),
             quotas,
             budgets,
             charges: HashMap::new(),
-            last_reports: BTreeMap::new(),
             next_offer: Time::default(),
         }
     }
@@ -174,9 +177,10 @@
     /// Replaces the known servers and entry VMs.
     pub fn set_fleet(&mut self, now: Time, fleet: Fleet, out: &mut Vec<Decision>) {
         self.budgets.set_vms(fleet.entries.len().max(DEFAULT_ENTRY_VMS));
-        self.quotas.set_vms(fleet.entries.len());
-        let others = fleet.entries.len().saturating_sub(1);
-        self.region.set_grace(share_interval(others) + share_interval(others));
+        self.spread.set_vms(fleet.entries.clone());
+        let timing = self.spread.timing();
+        self.region.set_grace(timing.spread_time());
+        self.region.set_peer_timeout(timing.give_up());
         self.region.set_vms(fleet.entries.clone());
         let known: BTreeSet<&ServerId> =
             fleet.servers.iter().map(|(server, _)| &server.id).collect();
@@ -202,15 +206,17 @@
         self.collect_decisions(now, out);
     }
 
-    /// Restores the quota usage of all entry VMs from before this one started.
+    /// Restores the quota usage of this VM's former processes, as they reported it to the control
+    /// VMs.
     pub fn restore_usage(&mut self, now: Time, usage: &[(VmName, Spending)]) {
-        self.quotas.restore(now, &self.vm, usage);
+        let own = usage.iter().filter(|(vm, _)| *vm == self.vm).map(|(_, spending)| spending);
+        self.quotas.restore(now, &mut self.spread, own);
     }
 
     /// Returns this VM's recent usage of quotas, for the control VMs.
     #[must_use]
     pub fn spending(&self, now: Time) -> Spending {
-        self.quotas.spending(now)
+        self.quotas.spending(now, &self.spread, self.incarnation)
     }
 
     /// Submits a request that needs a server. It is refused at once if one of its parts is blocked,
@@ -237,7 +243,7 @@
         }
         if let Some(charge) = charge {
             let Charge { account, quota, units } = &charge;
-            if let Err(wait) = self.quotas.charge(now, account, *quota, *units) {
+            if let Err(wait) = self.quotas.charge(now, &mut self.spread, account, *quota, *units) {
                 out.push(refuse(RefusalReason::TokenLimit, Some(wait)));
                 return;
             }
@@ -415,7 +421,7 @@
         request: RequestId,
         out: &mut Vec<Decision>,
     ) {
-        self.refund(request);
+        self.refund(now, request);
         self.open.remove(&request);
         self.region.withdraw(now, service, request);
         self.collect_decisions(now, out);
@@ -424,6 +430,7 @@
     /// Advances the time. Must be called regularly.
     pub fn tick(&mut self, now: Time, out: &mut Vec<Decision>) {
         self.quotas.start(now);
+        self.spread.start(now);
         if now >= self.next_offer {
             self.offer_servers(now, out);
         }
@@ -437,44 +444,38 @@
         self.region.set_eligible(available);
     }
 
-    /// Creates the next report for the other entry VMs.
-    pub fn load_report(&mut self, now: Time) -> LoadReport {
-        self.seq += 1;
-        LoadReport {
-            vm: self.vm.clone(),
-            incarnation: self.incarnation,
-            seq: self.seq,
-            region: self.region.gossip(now),
-            counts: (self.quotas.lineage(), self.quotas.is_informed(now)),
-            spent: self
-                .quotas
-                .usage_reports(now)
-                .map(|(account, report)| (account.clone(), report))
-                .collect(),
-            relayed: self.quotas.next_relayed(now),
+    /// Returns the messages that spread this VM's state, each with the VM to send it to, if they are
+    /// due.
+    pub fn take_digests(&mut self, now: Time) -> Vec<(VmName, Digest)> {
+        if !self.spread.is_due(now) && !self.region.has_changes() {
+            return Vec::new();
         }
+        let gossip = self.region.gossip(now);
+        let digests = self.spread.messages(now, gossip);
+        self.follow_members(now);
+        digests
     }
 
-    /// Processes a report of another entry VM. A report that is not newer than the last one is
-    /// ignored.
-    pub fn receive_load(&mut self, now: Time, report: LoadReport) {
-        let previous = self.last_reports.get(&report.vm);
-        if previous.is_some_and(|(incarnation, seq)| {
-            *incarnation == report.incarnation && *seq >= report.seq
-        }) {
-            return;
-        }
-        self.last_reports.insert(report.vm.clone(), (report.incarnation, report.seq));
-        self.region.receive_gossip(now, &report.vm, report.region);
-        if let Some(relayed) = report.relayed {
-            self.quotas.record_relayed(now, relayed);
+    /// Processes a message that spreads the state of other VMs.
+    pub fn receive_digest(&mut self, now: Time, digest: Digest) {
+        self.spread.receive(now, digest);
+    }
+
+    /// Passes on what the other VMs told of their homes.
+    fn follow_members(&mut self, now: Time) {
+        for (vm, member) in self.spread.members(now) {
+            if self.gossip.get(vm) == Some(&member.gossip) {
+                self.region.refresh(now, vm);
+            } else {
+                self.gossip.insert(vm.clone(), member.gossip.clone());
+                self.region.receive_gossip(now, vm, member.gossip.clone());
+            }
         }
-        self.quotas.record_reports(now, &report.vm, report.counts, report.spent);
     }
 
-    fn refund(&mut self, request: RequestId) {
+    fn refund(&mut self, now: Time, request: RequestId) {
         if let Some(charge) = self.charges.remove(&request) {
-            self.quotas.refund(&charge.account, charge.units);
+            self.quotas.refund(now, &mut self.spread, &charge.account, charge.units);
         }
     }
 
@@ -490,12 +491,6 @@
         self.region.take_frames()
     }
 
-    /// Returns whether a report should be sent to the other entry VMs at once.
-    #[must_use]
-    pub fn has_urgent_changes(&self) -> bool {
-        self.region.has_changes()
-    }
-
     /// Takes the notices about changed homes, the VMs that grant servers.
     pub fn take_notices(&mut self) -> Vec<Notice> {
         self.region.take_notices()
@@ -543,7 +538,7 @@
             GrantDecision::Declined { request, reason, wait } => (request, reason, wait),
         };
         self.open.remove(&request);
-        self.refund(request);
+        self.refund(now, request);
         let placement = Placement::Refused { reason, retry_after: Some(wait) };
         Decision { request, placement }
     }
--- a/crates/relay/tests/blocked.rs
+++ b/crates/relay/tests/blocked.rs
@@ -31,9 +31,10 @@
 impl Harness {
     fn start() -> Self {
         let window = Span::from_secs(8);
-        let quotas = Quotas::new(QuotaConfig { window, overage: 0.1, slack: 0 }, 1);
+        let quotas = Quotas::new(QuotaConfig { window, overage: 0.1, slack: 0 });
         let budgets = RetryBudgets::new(0.2, 1_000, Span::from_secs(10));
-        let scheduler = Scheduler::new("10.0.0.1".try_into().unwrap(), 1, budgets, quotas);
+        let place = ("10.0.0.1".try_into().unwrap(), "zone-a".try_into().unwrap());
+        let scheduler = Scheduler::new(place, 1, budgets, quotas);
         let mut harness = Self { scheduler, decided: BTreeMap::new() };
         let desk = RawService { name: "desk".into(), connections: 0, generates_tokens: true };
         let raw = RawPlan { version: 1, services: vec![desk], ..RawPlan::default() };
--- a/crates/relay/tests/quota.rs
+++ b/crates/relay/tests/quota.rs
@@ -4,21 +4,25 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use keeper::Spending;
-use model::{AccountName, Span, Time, VmName};
+use model::{AccountName, Span, Time, VmName, ZoneName};
 use proptest::{
     collection::vec,
     test_runner::{Config, RngAlgorithm, TestCaseError, TestRng, TestRunner},
 };
-use relay::{QuotaConfig, Quotas, RelayedUsage, UsageReport};
+use region::Gossip;
+use relay::{QuotaConfig, Quotas};
 use routing::{Quota, Unit};
+use spread::{Digest, Setup, Spread};
 
 const VMS: usize = 4;
+/// Availability zone of each VM.
+const ZONES: [&str; VMS] = ["zone-a", "zone-b", "zone-c", "zone-a"];
 /// Duration of one step of the simulation, in milliseconds.
 const STEP_MS: u64 = 5;
-/// Exclusive upper bound of the delay of reports between VMs, in steps.
+/// Exclusive upper bound of the delay of messages between VMs, in steps.
 const MAX_LAG: u64 = 10;
 /// Interval of the reports to the control VMs, in steps.
-const SYNC_STEPS: u64 = 60;
+const SYNC_STEPS: u64 = 200;
 /// Time for which the control VMs keep a report, in steps.
 const SPENDING_TTL_STEPS: u64 = 2_000;
 /// Time from the start of a VM until it is ready, in steps.
@@ -28,36 +32,39 @@
 const CONFIG: QuotaConfig =
     QuotaConfig { window: Span::from_secs(8), overage: 0.1, slack: 140_000 };
 
-/// A report of a VM to the others, which arrives at step `at`.
-struct Report {
+/// A message that arrives at step `at`.
+struct Message {
     at: u64,
     from: usize,
-    counts: (u64, bool),
-    spent: UsageReport,
-    relayed: Option<RelayedUsage>,
+    to: usize,
+    digest: Digest,
+}
+
+struct Vm {
+    quotas: Quotas,
+    spread: Spread,
 }
 
 struct Simulation {
-    quotas: Vec<Quotas>,
+    vms: Vec<Vm>,
     incarnations: Vec<u64>,
     cut_off: Vec<bool>,
-    reports: VecDeque<Report>,
+    messages: VecDeque<Message>,
     charges: VecDeque<(u64, u64)>,
     account: AccountName,
     /// Units not yet requested at each VM.
     demand: u64,
-    /// The last report of each VM and lineage to the control VMs, with the step it was sent at.
+    /// The last report of each VM and process to the control VMs, with the step it was sent at.
     spendings: BTreeMap<(usize, u64), (u64, Spending)>,
 }
 
 impl Simulation {
     fn new() -> Self {
-        let quotas = (0..VMS).map(|vm| started(0, lineage(vm, 0))).collect();
         Self {
-            quotas,
+            vms: (0..VMS).map(|vm| started(0, vm, 0)).collect(),
             incarnations: vec![0; VMS],
             cut_off: vec![false; VMS],
-            reports: VecDeque::new(),
+            messages: VecDeque::new(),
             charges: VecDeque::new(),
             account: AccountName::try_from("north-workshop").unwrap(),
             demand: 0,
@@ -65,6 +72,11 @@
         }
     }
 
+    fn charge(&mut self, now: u64, vm: usize, units: u64) -> bool {
+        let Vm { quotas, spread } = &mut self.vms[vm];
+        quotas.charge(time(now), spread, &self.account, QUOTA, units).is_ok()
+    }
+
     /// Runs one step, in which requests of `units` each arrive evenly at all VMs, with a total of
     /// `times` the quota's rate.
     fn step(&mut self, now: u64, times: u64, units: u64, lag: u64) {
@@ -73,63 +85,56 @@
         self.demand %= units;
         for vm in 0..VMS {
             for _ in 0..asks {
-                if self.quotas[vm].charge(time(now), &self.account, QUOTA, units).is_ok() {
+                if self.charge(now, vm, units) {
                     self.charges.push_back((now, units));
                 }
             }
         }
-        self.exchange_reports(now, lag);
+        self.exchange(now, lag);
     }
 
-    /// Sends the usage reports of each VM to the others, with a delay of `lag` steps.
-    fn exchange_reports(&mut self, now: u64, lag: u64) {
-        for vm in 0..VMS {
-            let spent = self.quotas[vm].usage_reports(time(now)).next().map(|(_, spent)| spent);
-            if let Some(spent) = spent {
-                let quotas = &mut self.quotas[vm];
-                let counts = (quotas.lineage(), quotas.is_informed(time(now)));
-                let relayed = quotas.next_relayed(time(now));
-                self.reports.push_back(Report { at: now + lag, from: vm, counts, spent, relayed });
+    /// Sends the messages that are due, with a delay of `lag` steps, and delivers those that arrive.
+    fn exchange(&mut self, now: u64, lag: u64) {
+        for from in 0..VMS {
+            let spread = &mut self.vms[from].spread;
+            if !spread.is_due(time(now)) {
+                continue;
+            }
+            for (to, digest) in spread.messages(time(now), Gossip::default()) {
+                let to = (0..VMS).find(|vm| vm_name(*vm) == to).unwrap();
+                self.messages.push_back(Message { at: now + lag, from, to, digest });
             }
         }
-        while self.reports.front().is_some_and(|r| r.at <= now) {
-            let Report { from, counts, spent, relayed, .. } = self.reports.pop_front().unwrap();
-            let name = vm_name(from);
-            for vm in (0..VMS).filter(|vm| *vm != from && self.cut_off[*vm] == self.cut_off[from]) {
-                let quotas = &mut self.quotas[vm];
-                if let Some(relayed) = &relayed {
-                    quotas.record_relayed(time(now), relayed.clone());
-                }
-                quotas.record_reports(
-                    time(now),
-                    &name,
-                    counts,
-                    [(self.account.clone(), spent.clone())],
-                );
+        while self.messages.front().is_some_and(|m| m.at <= now) {
+            let Message { from, to, digest, .. } = self.messages.pop_front().unwrap();
+            if self.cut_off[from] == self.cut_off[to] {
+                self.vms[to].spread.receive(time(now), digest);
             }
         }
     }
 
-    /// Restarts a VM, which restores the usage that all VMs last reported to the control VMs.
+    /// Restarts a VM, which restores the usage that it last reported to the control VMs.
     fn restart(&mut self, vm: usize, now: u64) {
-        let spendings = self.spendings.iter().map(|((vm, _), (at, spending))| {
+        let of_vm = self.spendings.iter().filter(|((other, _), _)| *other == vm);
+        let spendings = of_vm.map(|(_, (at, spending))| {
             let mut spending = spending.clone();
             for (age, _) in spending.usages.iter_mut().flat_map(|u| &mut u.recent) {
                 *age = *age + Span::from_millis((now - at) * STEP_MS);
             }
-            (vm_name(*vm), spending)
+            spending
         });
         let spendings: Vec<_> = spendings.collect();
         self.incarnations[vm] += 1;
-        self.quotas[vm] = started(now, lineage(vm, self.incarnations[vm]));
-        self.quotas[vm].restore(time(now), &vm_name(vm), &spendings);
+        self.vms[vm] = started(now, vm, self.incarnations[vm]);
+        let Vm { quotas, spread } = &mut self.vms[vm];
+        quotas.restore(time(now), spread, &spendings);
     }
 
     /// Reports the recent usage of each VM to the control VMs.
     fn sync_controls(&mut self, now: u64) {
         self.spendings.retain(|_, (at, _)| now - *at < SPENDING_TTL_STEPS);
-        for (vm, quotas) in self.quotas.iter().enumerate() {
-            let spending = quotas.spending(time(now));
+        for (vm, Vm { quotas, spread }) in self.vms.iter().enumerate() {
+            let spending = quotas.spending(time(now), spread, lineage(vm, self.incarnations[vm]));
             self.spendings.insert((vm, spending.lineage), (now, spending));
         }
     }
@@ -152,11 +157,16 @@
     1_000 * (vm as u64 + 1) + incarnation
 }
 
-fn started(now: u64, lineage: u64) -> Quotas {
-    let mut quotas = Quotas::new(CONFIG, lineage);
+fn started(now: u64, vm: usize, incarnation: u64) -> Vm {
+    let mut quotas = Quotas::new(CONFIG);
     quotas.start(time(now));
-    quotas.set_vms(VMS);
-    quotas
+    let zones = ZONES.map(|zone| ZoneName::try_from(zone).unwrap());
+    let incarnation = 1_000 * lineage(vm, incarnation);
+    let (zone, window) = (zones[vm].clone(), CONFIG.window);
+    let mut spread = Spread::new(Setup { vm: vm_name(vm), zone, incarnation, window });
+    spread.start(time(now));
+    spread.set_vms((0..VMS).map(vm_name).zip(zones).collect());
+    Vm { quotas, spread }
 }
 
 fn time(step: u64) -> Time {
@@ -294,11 +304,11 @@
         let times = if now < 200 { 2 } else { 1 };
         for vm in [0, 0, 1, 2, 3] {
             let units = QUOTA.rate * times * STEP_MS / 1_000 / 5;
-            if sim.quotas[vm].charge(time(now), &sim.account, QUOTA, units).is_err() {
+            if !sim.charge(now, vm, units) {
                 refused.push(now * STEP_MS);
             }
         }
-        sim.exchange_reports(now, 4);
+        sim.exchange(now, 4);
     }
     // Until the previous processes are certainly given up, each VM has only its own share.
     assert!(refused.iter().all(|ms| *ms < 700), "refused {:?} ms after the start", refused.last());
@@ -306,15 +316,11 @@
 
 #[test]
 fn a_restarted_vm_does_not_limit_usual_traffic() {
-    let mut quotas = started(0, 1);
-    let account = AccountName::try_from("north-workshop").unwrap();
+    let mut sim = Simulation::new();
     // One VM's share of the requests of an account that uses half of its rate.
     let units = QUOTA.rate / 2 / VMS as u64 * STEP_MS / 1_000;
     for step in 0..2_000 {
-        assert!(
-            quotas.charge(time(step), &account, QUOTA, units).is_ok(),
-            "refused at step {step}"
-        );
+        assert!(sim.charge(step, 0, units), "refused at step {step}");
     }
 }
 
@@ -330,11 +336,11 @@
         // ready.
         for vm in (0..VMS).filter(|vm| now >= ready[*vm]) {
             let units = QUOTA.rate * 7 / 10 * STEP_MS / 1_000 / VMS as u64;
-            if sim.quotas[vm].charge(time(now), &sim.account, QUOTA, units).is_err() {
+            if !sim.charge(now, vm, units) {
                 refused.push(now * STEP_MS);
             }
         }
-        sim.exchange_reports(now, 4);
+        sim.exchange(now, 4);
         if now.is_multiple_of(SYNC_STEPS) {
             sim.sync_controls(now);
         }
@@ -362,11 +368,11 @@
         }
         for vm in 0..VMS {
             let units = QUOTA.rate * 7 / 10 * STEP_MS / 1_000 / VMS as u64;
-            if sim.quotas[vm].charge(time(now), &sim.account, QUOTA, units).is_err() {
+            if !sim.charge(now, vm, units) {
                 refused.push(now * STEP_MS);
             }
         }
-        sim.exchange_reports(now, 4);
+        sim.exchange(now, 4);
     }
     assert!(refused.is_empty(), "{} refused, first after {:?} ms", refused.len(), refused.first());
 }
@@ -375,29 +381,16 @@
 /// connected.
 #[test]
 fn first_usage_of_an_account_is_known_to_other_vms() {
-    let [mut first, mut second] = [1, 2].map(|lineage| started(0, lineage));
-    for quotas in [&mut first, &mut second] {
-        quotas.set_vms(2);
-    }
+    let mut sim = Simulation::new();
     let accounts =
         ["north-workshop", "south-workshop"].map(|name| AccountName::try_from(name).unwrap());
-    let [early, late] = &accounts;
     for step in 0..4_000 {
-        let account = if step < 3_000 { early } else { late };
+        sim.account = accounts[usize::from(step >= 3_000)].clone();
         // The account uses its whole quota at one VM.
-        while first.charge(time(step), account, QUOTA, 1_000).is_ok() {}
-        let counts = |quotas: &Quotas| (quotas.lineage(), quotas.is_informed(time(step)));
-        let spent = |quotas: &Quotas| -> Vec<_> {
-            quotas
-                .usage_reports(time(step))
-                .map(|(account, spent)| (account.clone(), spent))
-                .collect()
-        };
-        second.record_reports(time(step), &vm_name(0), counts(&first), spent(&first));
-        first.record_reports(time(step), &vm_name(1), counts(&second), spent(&second));
+        while sim.charge(step, 0, 1_000) {}
+        sim.exchange(step, 4);
+    }
+    for vm in 1..VMS {
+        assert!(!sim.charge(4_000, vm, 5_000), "another VM used the whole quota");
     }
-    assert!(
-        second.charge(time(4_000), late, QUOTA, 5_000).is_err(),
-        "the other VM used the whole quota"
-    );
 }
--- /dev/null
+++ b/crates/spread/src/digest.rs
@@ -0,0 +1,94 @@
+//! The messages between entry VMs.
+
+use model::{AccountName, Span, VmName};
+use region::Gossip;
+use serde::{Deserialize, Serialize};
+
+/// What a message describes, which follows from the roles of sender and receiver.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Scope {
+    /// One VM, to the relay of its zone.
+    Vm,
+    /// A zone, from its relay to another relay.
+    Zone,
+    /// The region, from a relay to the VMs of its zone.
+    Region,
+}
+
+/// One live entry VM.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Member {
+    /// Random number that the VM's process drew at its start.
+    pub incarnation: u64,
+    /// Whether the process has run for a whole quota window.
+    pub settled: bool,
+    /// Whether the sender counts the VM among those that share quotas with it.
+    pub shares: bool,
+    /// Homes that the VM has selected.
+    pub gossip: Gossip,
+}
+
+/// Revision of the receiver's messages up to which the sender has applied them.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ack {
+    /// Incarnation of the receiver's process that the revision belongs to.
+    pub incarnation: u64,
+    /// Revision up to which nothing is missing.
+    pub revision: u64,
+}
+
+/// The changes of a table between two revisions.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Delta {
+    /// Revision after which the changes were made; 0 for everything.
+    pub base: u64,
+    /// Revision up to which all changes are included; 0 if the message says nothing of the table.
+    pub revision: u64,
+    /// Revision of the sender's table. It is higher than `revision` if not all changes fit into one
+    /// message.
+    pub latest: u64,
+    /// VMs that changed, or `None` for those that are no longer live.
+    pub members: Vec<(VmName, Option<Member>)>,
+    /// Numbers that the sender gave to accounts. They are used instead of the names.
+    pub names: Vec<(u32, AccountName)>,
+    /// For each account, how many steps ago its usage changed, by the sender's clock, and the units
+    /// used in that step.
+    pub usage: Vec<(u32, Vec<(i64, u64)>)>,
+}
+
+/// A message between two entry VMs.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Digest {
+    /// VM that sends the message.
+    pub from: VmName,
+    /// Random number that the sender's process drew at its start.
+    pub incarnation: u64,
+    /// Number of the message within the incarnation.
+    pub seq: u64,
+    /// What the message describes.
+    pub scope: Scope,
+    /// The sender's clock, in microseconds.
+    pub clock: u64,
+    /// VM that the sender reports to, itself if it is the relay of its zone.
+    pub relay: VmName,
+    /// Whether the sender hears control VMs and is not about to stop.
+    pub able: bool,
+    /// Time since the start of the sender's process.
+    pub age: Span,
+    /// What the sender has applied of the receiver's messages.
+    pub heard: Ack,
+    /// Whether the sender counts the receiver's usage, or does so as soon as the receiver counts that
+    /// of the sender.
+    pub counts: bool,
+    /// VMs with which the sender shared quotas within the last window, with the time since. `None` if
+    /// sender and receiver count each other's usage already.
+    pub partners: Option<Vec<(VmName, Span)>>,
+    /// Time since which the usage is not known to all VMs, as some do not share quotas with the sender.
+    /// Zero if all do.
+    pub divided: Span,
+    /// Usage that the receiver's former process told the sender, each entry with its age. Sent for a
+    /// short time after the receiver's start.
+    pub former: Vec<(AccountName, Vec<(Span, u64)>)>,
+    /// What changed since the revision that the receiver has acknowledged.
+    pub delta: Delta,
+}
--- /dev/null
+++ b/crates/spread/src/spread.rs
@@ -0,0 +1,783 @@
+//! The state machine of one entry VM.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+
+use model::{AccountName, Span, Time, VmName, ZoneName};
+use region::Gossip;
+
+use crate::{
+    digest::{Ack, Delta, Digest, Member, Scope},
+    ranking::{Rank, best},
+    relay::{Context, Relay},
+    source::{Admission, Source},
+    table::Table,
+    timing::Timing,
+};
+
+/// Number of steps in which a window is counted.
+const WINDOW_STEPS: u64 = 32;
+/// Number of steps by which usage may be counted as older than it is: one at the VM that used the
+/// units, and one at each of two relays.
+const LOST_STEPS: u64 = 3;
+/// Time for which a VM that was silent as a relay is not chosen again.
+const EXCLUSION_TIME: Span = Span::from_secs(2);
+
+/// What a VM starts with.
+#[derive(Clone, Debug)]
+pub struct Setup {
+    /// Name of this VM.
+    pub vm: VmName,
+    /// Availability zone of this VM.
+    pub zone: ZoneName,
+    /// Random number that identifies this process of the VM.
+    pub incarnation: u64,
+    /// Length of the window in which usage is counted.
+    pub window: Span,
+}
+
+/// Which VMs share quotas with this one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Sharing {
+    /// Number of VMs that share quotas with this one, itself included.
+    pub vms: usize,
+    /// Number of all entry VMs.
+    pub of: usize,
+    /// Time before which the usage was known to all VMs, also to those that do not share quotas with
+    /// this one now.
+    pub since: Time,
+    /// Number of VMs, among those that share, that have run for a whole window.
+    pub settled: usize,
+}
+
+/// The units of an account that were used in the last window, as far as this VM knows.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Used {
+    /// Start of each step and the units used in it, oldest first.
+    pub steps: Vec<(Time, u64)>,
+}
+
+impl Used {
+    /// Returns the units used in the window.
+    #[must_use]
+    pub fn sum(&self) -> u64 {
+        self.steps.iter().map(|(_, units)| units).sum()
+    }
+}
+
+/// Usage at this VM, for as long as it may be missing in the region's sums.
+#[derive(Clone, Copy, Debug)]
+struct Charge {
+    at: Time,
+    /// Revision of the table of this VM's usage.
+    revision: u64,
+    units: i64,
+}
+
+/// One entry VM's part in spreading state over the region.
+///
+/// # Examples
+///
+/// ```
+/// use model::{Span, Time};
+/// use region::Gossip;
+/// use spread::{Setup, Spread};
+///
+/// let window = Span::from_secs(8);
+/// let (vm, zone) = ("10.0.0.1".try_into()?, "zone-a".try_into()?);
+/// let mut spread = Spread::new(Setup { vm, zone, incarnation: 7, window });
+/// let now = Time::default() + Span::from_secs(60);
+/// let account = "north-workshop".try_into()?;
+/// spread.record(now, &account, 200);
+/// assert_eq!(spread.used(now, &account).sum(), 200);
+/// assert!(spread.is_due(now));
+/// let messages = spread.messages(now, Gossip::default());
+/// assert!(messages.is_empty(), "a VM that knows no other VM sends nothing");
+/// # Ok::<(), model::Error>(())
+/// ```
+#[derive(Debug)]
+pub struct Spread {
+    setup: Setup,
+    /// Length of a step.
+    step: Span,
+    timing: Timing,
+    vms: BTreeMap<VmName, ZoneName>,
+    seq: u64,
+    started: Option<Time>,
+    gossip: Gossip,
+    /// This VM and its usage.
+    own: Table,
+    charges: HashMap<AccountName, VecDeque<Charge>>,
+    /// Whether another relay has told what this VM's former process used.
+    is_told: bool,
+    /// The VM to which this one reports; itself if it is the relay of its zone.
+    relay: VmName,
+    /// When this VM began to report to its relay.
+    relay_since: Time,
+    /// VMs that are not chosen as relays before the given time.
+    excluded: BTreeMap<VmName, Time>,
+    /// The region's sums as the relay sent them.
+    region: Option<Source>,
+    /// The sums of the former relay, which hold until this VM is counted in those of the new one.
+    former: Option<Source>,
+    role: Option<Relay>,
+    /// Number of times that this VM became a relay.
+    roles: u64,
+    /// VMs that take this one for a relay, though it is none.
+    misled: BTreeSet<VmName>,
+    /// When each VM last shared quotas with this one.
+    shared: BTreeMap<VmName, Time>,
+    /// VMs that share quotas with this one.
+    sharing: BTreeSet<VmName>,
+    /// Revisions of the tables that were sent last.
+    sent: (u64, (u64, u64)),
+    next_change: Time,
+    next_idle: Time,
+    is_urgent: bool,
+}
+
+impl Spread {
+    /// Creates the state of a VM that knows no other VM.
+    #[must_use]
+    pub fn new(setup: Setup) -> Self {
+        let step = Span::from_micros((setup.window.as_micros() / WINDOW_STEPS).max(1));
+        let vms = BTreeMap::from([(setup.vm.clone(), setup.zone.clone())]);
+        Self {
+            step,
+            timing: Timing::new(1, 1),
+            vms,
+            seq: 0,
+            started: None,
+            gossip: Gossip::default(),
+            own: Table::default(),
+            charges: HashMap::new(),
+            is_told: false,
+            relay: setup.vm.clone(),
+            relay_since: Time::default(),
+            excluded: BTreeMap::new(),
+            region: None,
+            former: None,
+            role: None,
+            roles: 0,
+            misled: BTreeSet::new(),
+            shared: BTreeMap::new(),
+            sharing: BTreeSet::new(),
+            sent: (0, (0, 0)),
+            next_change: Time::default(),
+            next_idle: Time::default(),
+            is_urgent: false,
+            setup,
+        }
+    }
+
+    /// Sets the entry VMs and their availability zones, this one included.
+    pub fn set_vms(&mut self, vms: BTreeMap<VmName, ZoneName>) {
+        let mut sizes: BTreeMap<&ZoneName, usize> = BTreeMap::new();
+        for zone in vms.values() {
+            *sizes.entry(zone).or_default() += 1;
+        }
+        self.timing = Timing::new(vms.len(), sizes.values().copied().max().unwrap_or(1));
+        self.vms = vms;
+        self.vms.insert(self.setup.vm.clone(), self.setup.zone.clone());
+    }
+
+    /// Returns the intervals and timeouts.
+    #[must_use]
+    pub fn timing(&self) -> Timing {
+        self.timing
+    }
+
+    /// Returns the live VMs other than this one, and what they told.
+    pub fn members(&self, now: Time) -> impl Iterator<Item = (&VmName, &Member)> {
+        let of_role = self.role.as_ref().map(|role| role.region.members());
+        let is_live = |source: &&Source| now - source.last_seen < self.timing.timeout;
+        let region = self.region.as_ref().filter(is_live);
+        let of_relay = region.map(|region| region.members.iter());
+        let all = of_role.into_iter().flatten().chain(of_relay.into_iter().flatten());
+        all.filter(|(vm, _)| **vm != self.setup.vm)
+    }
+
+    /// Returns the VM to which this one reports; itself if it is the relay of its zone.
+    #[must_use]
+    pub fn relay(&self) -> &VmName {
+        &self.relay
+    }
+
+    /// Records units that were used at this VM, or that were refunded if they are negative.
+    pub fn record(&mut self, now: Time, account: &AccountName, units: i64) {
+        self.start(now);
+        self.record_at(now, account, units);
+    }
+
+    fn record_at(&mut self, at: Time, account: &AccountName, units: i64) {
+        if units >= 0 {
+            self.own.add(account, self.step_of(at), units);
+        } else {
+            self.own.take(account, units.unsigned_abs());
+        }
+        let revision = self.own.revision();
+        let charges = self.charges.entry(account.clone()).or_default();
+        // All units that were used since the last message are acknowledged together.
+        match charges.back_mut() {
+            Some(last)
+                if last.revision > self.sent.0
+                    && (last.units >= 0) == (units >= 0)
+                    && last.at <= at
+                    && at - last.at < self.step =>
+            {
+                (last.revision, last.units) = (revision, last.units + units);
+            }
+            _ => charges.push_back(Charge { at, revision, units }),
+        }
+    }
+
+    /// Records units that the VM's former process used, each entry with its age.
+    pub fn restore(&mut self, now: Time, account: &AccountName, recent: &[(Span, u64)]) {
+        self.start(now);
+        for (age, units) in recent {
+            let at = Time::from_micros(now.as_micros().saturating_sub(age.as_micros()));
+            self.record_at(at, account, i64::try_from(*units).unwrap_or(i64::MAX));
+        }
+    }
+
+    /// Returns the units used at this VM by account, each entry with its age, oldest first.
+    pub fn own_usage(&self, now: Time) -> impl Iterator<Item = (&AccountName, Vec<(Span, u64)>)> {
+        let first = self.first_counted(now);
+        self.own.accounts().map(move |account| {
+            let steps = self.own.steps(account).map(|(step, units)| (self.start_of(step), units));
+            let steps = steps.filter(|(start, units)| *start >= first && *units > 0);
+            (account, steps.map(|(start, units)| (now - start, units)).collect())
+        })
+    }
+
+    /// Returns the units of an account that the VMs that share with this one used in the last window,
+    /// and before they were separated from others, all VMs.
+    #[must_use]
+    pub fn used(&self, now: Time, account: &AccountName) -> Used {
+        let me = &self.setup.vm;
+        let (mut steps, heard): (Vec<(Time, u64)>, u64) = if let Some(role) = &self.role {
+            let steps =
+                role.region.steps(account).map(|(step, units)| (self.start_of(step), units));
+            (steps.collect(), role.members.get(me).map_or(0, |source| source.ack().revision))
+        } else if let Some(source) = self.counting_source() {
+            (source.steps(account).collect(), source.heard.revision)
+        } else {
+            (Vec::new(), 0)
+        };
+        let first = self.first_counted(now);
+        steps.retain(|(start, units)| *start >= first && *units > 0);
+        let charges = self.charges.get(account).into_iter().flatten();
+        let mut refunded = 0;
+        for charge in charges.filter(|c| c.revision > heard && c.at >= first) {
+            match u64::try_from(charge.units) {
+                Ok(units) => steps.push((charge.at, units)),
+                Err(_) => refunded += charge.units.unsigned_abs(),
+            }
+        }
+        steps.sort_by_key(|(start, _)| *start);
+        for (_, units) in steps.iter_mut().rev() {
+            let part = refunded.min(*units);
+            (*units, refunded) = (*units - part, refunded - part);
+        }
+        Used { steps }
+    }
+
+    /// Returns the source whose sums count for this VM.
+    fn counting_source(&self) -> Option<&Source> {
+        self.region.as_ref().filter(|s| self.is_counted_in(s)).or(self.former.as_ref())
+    }
+
+    /// Returns the start of the oldest step that counts, and how long a step counts.
+    fn first_counted(&self, now: Time) -> Time {
+        Time::from_micros(now.as_micros().saturating_sub(self.counted_time().as_micros()))
+    }
+
+    /// Returns the time for which a step counts after its start.
+    #[must_use]
+    pub fn counted_time(&self) -> Span {
+        self.setup.window + Span::from_micros(self.step.as_micros() * LOST_STEPS)
+    }
+
+    fn step_of(&self, time: Time) -> u64 {
+        time.as_micros() / self.step.as_micros()
+    }
+
+    fn start_of(&self, step: u64) -> Time {
+        Time::from_micros(step.saturating_mul(self.step.as_micros()))
+    }
+
+    fn age(&self, now: Time) -> Span {
+        self.started.map_or(Span::ZERO, |at| now - at)
+    }
+
+    /// Returns whether this VM's process has run for a whole window.
+    #[must_use]
+    pub fn is_settled(&self, now: Time) -> bool {
+        self.age(now) >= self.setup.window
+    }
+
+    /// Sets the time of this VM's start. Later calls have no effect.
+    pub fn start(&mut self, now: Time) {
+        self.started.get_or_insert(now);
+    }
+
+    /// Returns which VMs share quotas with this one.
+    #[must_use]
+    pub fn sharing(&self, now: Time) -> Sharing {
+        let since = self.divided_at(now);
+        let settled = self.members(now).filter(|(vm, m)| m.settled && self.sharing.contains(*vm));
+        let vms = self.sharing.len().max(1);
+        let settled = settled.count() + usize::from(self.is_settled(now));
+        Sharing { vms, of: self.vms.len().max(vms), since, settled }
+    }
+
+    /// Returns the time before which the usage was known to all VMs.
+    fn divided_at(&self, now: Time) -> Time {
+        let is_live = |source: &&Source| now - source.last_seen < self.timing.timeout;
+        if let Some(source) = self.counting_source().filter(is_live) {
+            return source.divided_at;
+        }
+        let lost =
+            self.vms.keys().filter(|vm| !self.sharing.contains(*vm) && **vm != self.setup.vm);
+        let known_until = lost.map(|vm| {
+            let at = self.shared.get(vm).copied().unwrap_or_default().as_micros();
+            Time::from_micros(at.saturating_sub(self.timing.give_up().as_micros()))
+        });
+        known_until.min().unwrap_or(now)
+    }
+
+    /// Returns the age of the news that this VM has of others, if no message is lost: the time that
+    /// they take, and that since the last message of the relay.
+    #[must_use]
+    pub fn news_age(&self, now: Time) -> Span {
+        let source = self.counting_source().filter(|_| self.role.is_none());
+        let silence = source.map_or(Span::ZERO, |source| now - source.last_seen);
+        self.timing.spread_time() + silence
+    }
+
+    /// Returns whether messages are to be sent now.
+    #[must_use]
+    pub fn is_due(&self, now: Time) -> bool {
+        let revisions = (self.own.revision(), self.revisions());
+        self.is_urgent
+            || now >= self.next_idle
+            || (now >= self.next_change && revisions != self.sent)
+    }
+
+    /// Returns the messages to send, each with the VM to send it to. All others learn of `gossip`.
+    pub fn messages(&mut self, now: Time, gossip: Gossip) -> Vec<(VmName, Digest)> {
+        self.start(now);
+        self.gossip = gossip;
+        self.choose_relay(now);
+        self.is_urgent = false;
+        (self.next_change, self.next_idle) =
+            (now + self.timing.min_gap, now + self.timing.interval);
+        self.update(now);
+        let messages = self.outgoing(now);
+        self.sent = (self.own.revision(), self.revisions());
+        messages
+    }
+
+    fn revisions(&self) -> (u64, u64) {
+        self.role.as_ref().map_or((0, 0), |role| (role.zone.revision(), role.region.revision()))
+    }
+
+    /// Brings the tables and the set of sharing VMs up to date.
+    fn update(&mut self, now: Time) {
+        let member = Member {
+            incarnation: self.setup.incarnation,
+            settled: self.is_settled(now),
+            shares: true,
+            gossip: self.gossip.clone(),
+        };
+        self.own.set_members(&BTreeMap::from([(self.setup.vm.clone(), member)]));
+        let first = self.first_counted(now);
+        self.own.expire(self.step_of(first));
+        self.drop_counted_charges(now);
+        for source in [&mut self.region, &mut self.former].into_iter().flatten() {
+            source.expire(first);
+        }
+        if self.former.as_ref().is_some_and(|former| former.last_seen < first) {
+            self.former = None;
+        }
+        if let Some(mut role) = self.role.take() {
+            let me = &self.setup.vm;
+            let applied = role.members.get(me).map_or(0, |source| source.ack().revision);
+            self.seq += 1;
+            let digest = Digest {
+                partners: Some(Vec::new()),
+                ..self.digest(
+                    now,
+                    Scope::Vm,
+                    Ack::default(),
+                    self.own.delta(applied, self.step_of(now)),
+                )
+            };
+            let context = self.context(now);
+            role.receive_member(&context, digest);
+            role.update(&context);
+            self.role = Some(role);
+        }
+        self.update_sharing(now);
+    }
+
+    /// Drops charges that the region's sums have, and those that are no longer in the window. The next
+    /// sums may lack the charges of the time in which a relay is replaced.
+    fn drop_counted_charges(&mut self, now: Time) {
+        let first = self.first_counted(now);
+        let me = &self.setup.vm;
+        let own = self.role.as_ref().and_then(|role| role.members.get(me));
+        let views = [self.region.as_ref(), self.former.as_ref()].into_iter().flatten();
+        let heard = views.map(|source| source.heard.revision);
+        let heard = heard.chain(own.map(|source| source.ack().revision)).min().unwrap_or(0);
+        let give_up = self.timing.give_up();
+        self.charges.retain(|_, charges| {
+            charges.retain(|charge| {
+                let is_counted = charge.revision <= heard && now - charge.at >= give_up;
+                charge.at >= first && !is_counted
+            });
+            !charges.is_empty()
+        });
+    }
+
+    fn update_sharing(&mut self, now: Time) {
+        let me = &self.setup.vm;
+        self.sharing = if let Some(role) = &self.role {
+            role.sharing.clone()
+        } else {
+            let is_live = |source: &&Source| now - source.last_seen < self.timing.timeout;
+            let members = self.counting_source().filter(is_live).map(|source| &source.members);
+            let sharing = members.into_iter().flatten().filter(|(_, member)| member.shares);
+            sharing.map(|(vm, _)| vm.clone()).collect()
+        };
+        self.sharing.insert(me.clone());
+        for vm in &self.sharing {
+            self.shared.insert(vm.clone(), now);
+        }
+        let window = self.setup.window;
+        self.shared.retain(|_, at| now - *at < window + window);
+        if self.region.as_ref().is_some_and(|region| self.is_counted_in(region)) {
+            self.former = None;
+        }
+    }
+
+    fn context(&self, now: Time) -> Context<'_> {
+        Context {
+            now,
+            me: &self.setup.vm,
+            settled: self.is_settled(now),
+            timing: self.timing,
+            step: self.step,
+            window: self.setup.window,
+            shared: &self.shared,
+        }
+    }
+
+    fn digest(&self, now: Time, scope: Scope, heard: Ack, delta: Delta) -> Digest {
+        Digest {
+            from: self.setup.vm.clone(),
+            incarnation: self.incarnation(scope),
+            seq: self.seq,
+            scope,
+            clock: now.as_micros(),
+            relay: self.relay.clone(),
+            able: self.gossip.able,
+            age: self.age(now),
+            heard,
+            counts: true,
+            partners: Some(self.partners(now)),
+            divided: now - self.divided_at(now),
+            former: Vec::new(),
+            delta,
+        }
+    }
+
+    /// Returns what identifies the table from which messages of a scope are made.
+    fn incarnation(&self, scope: Scope) -> u64 {
+        let roles = if scope == Scope::Vm { 0 } else { self.roles };
+        self.setup.incarnation.wrapping_add(roles)
+    }
+
+    /// Returns the VMs with which this one shared quotas within the window, with the time since.
+    fn partners(&self, now: Time) -> Vec<(VmName, Span)> {
+        let within = self.shared.iter().filter(|(_, at)| now - **at < self.setup.window);
+        within.map(|(vm, at)| (vm.clone(), now - *at)).collect()
+    }
+
+    /// Returns a message to a VM that has sent messages.
+    fn reply(&self, now: Time, scope: Scope, to: &Source, delta: Delta) -> Digest {
+        let digest = self.digest(now, scope, to.ack(), delta);
+        let is_mutual = match scope {
+            Scope::Vm => self.is_counted_in(to),
+            Scope::Zone | Scope::Region => to.is_counted() && to.counts,
+        };
+        let partners = digest.partners.filter(|_| !is_mutual);
+        let counts = scope == Scope::Vm || to.admission != Admission::Separate;
+        Digest { counts, partners, ..digest }
+    }
+
+    fn outgoing(&mut self, now: Time) -> Vec<(VmName, Digest)> {
+        self.seq += 1;
+        let step = self.step_of(now);
+        let mut messages = Vec::new();
+        for vm in std::mem::take(&mut self.misled) {
+            let digest = self.digest(now, Scope::Region, Ack::default(), Delta::default());
+            messages.push((vm, digest));
+        }
+        let Some(mut role) = self.role.take() else {
+            let digest = match self.region.take() {
+                Some(mut region) => {
+                    let delta = self.own.delta(region.next_base(self.incarnation(Scope::Vm)), step);
+                    region.record_sent(delta.revision);
+                    let digest = self.reply(now, Scope::Vm, &region, delta);
+                    self.region = Some(region);
+                    digest
+                }
+                None => self.digest(now, Scope::Vm, Ack::default(), self.own.delta(0, step)),
+            };
+            messages.push((self.relay.clone(), digest));
+            return messages;
+        };
+        let timeout = self.timing.timeout;
+        let is_live = |source: &Source| now - source.last_seen < timeout;
+        for (vm, source) in role.members.iter_mut().filter(|(vm, _)| **vm != self.setup.vm) {
+            if is_live(source) {
+                let delta =
+                    role.region.delta(source.next_base(self.incarnation(Scope::Region)), step);
+                source.record_sent(delta.revision);
+                messages.push((vm.clone(), self.reply(now, Scope::Region, source, delta)));
+            }
+        }
+        let mut heard = BTreeSet::new();
+        for (vm, source) in role.zones.iter_mut().filter(|(_, source)| is_live(source)) {
+            heard.extend(self.vms.get(vm));
+            let delta = role.zone.delta(source.next_base(self.incarnation(Scope::Zone)), step);
+            source.record_sent(delta.revision);
+            let digest = self.reply(now, Scope::Zone, source, delta);
+            let former = self.former_usage(now, source);
+            messages.push((vm.clone(), Digest { former, ..digest }));
+        }
+        self.role = Some(role);
+        let zones: BTreeSet<&ZoneName> = self.vms.values().collect();
+        for zone in zones.difference(&heard) {
+            for vm in self.tried_vms(now, zone) {
+                let digest = self.digest(now, Scope::Zone, Ack::default(), Delta::default());
+                messages.push((vm, Digest { counts: false, ..digest }));
+            }
+        }
+        messages
+    }
+
+    /// Returns what a relay's former process told, if the present one has just started.
+    fn former_usage(&self, now: Time, source: &Source) -> Vec<(AccountName, Vec<(Span, u64)>)> {
+        if now - source.connected_at >= self.timing.give_up() {
+            return Vec::new();
+        }
+        let aged = |(start, units): &(Time, u64)| (now - *start, *units);
+        let of_account = |(name, steps): &(AccountName, Vec<(Time, u64)>)| {
+            (name.clone(), steps.iter().map(aged).collect())
+        };
+        source.former.iter().map(of_account).collect()
+    }
+
+    /// Takes over what this VM's former process told another relay, as far as it is not restored yet.
+    fn take_former_usage(&mut self, now: Time, former: &[(AccountName, Vec<(Span, u64)>)]) {
+        let Some(started) = self.started.filter(|_| !former.is_empty() && !self.is_told) else {
+            return;
+        };
+        self.is_told = true;
+        let first = self.first_counted(now);
+        for (account, steps) in former {
+            let steps = steps.iter().filter(|(age, _)| first + *age <= now);
+            let told: u64 = steps.clone().map(|(_, units)| units).sum();
+            let own = self.own.steps(account).filter(|(step, _)| self.start_of(*step) < started);
+            let restored: u64 = own.map(|(_, units)| units).sum();
+            // The newest usage is what the former process had not reported to the control VMs.
+            let mut missing = told.saturating_sub(restored);
+            let mut recent = Vec::new();
+            for (age, units) in steps.rev() {
+                let part = missing.min(*units);
+                missing -= part;
+                recent.push((*age, part));
+            }
+            self.restore(now, account, &recent);
+        }
+    }
+
+    /// Returns the VMs of a zone that may be its relay: the best one, and another one in turn.
+    fn tried_vms(&self, now: Time, zone: &ZoneName) -> Vec<VmName> {
+        let reports = |vm: &VmName| {
+            let source = self.role.as_ref().and_then(|role| role.members.get(vm));
+            source.is_some_and(|source| now - source.last_seen < self.timing.timeout)
+        };
+        let mut ranked: Vec<(&VmName, Rank)> = self.ranked(now, zone).collect();
+        ranked.retain(|(vm, _)| **vm != self.setup.vm && !reports(vm));
+        ranked.sort_by(|(_, a), (_, b)| b.partial_cmp(a).unwrap_or(std::cmp::Ordering::Equal));
+        let round = now.as_micros() / self.timing.timeout.as_micros().max(1);
+        let others = ranked.len().saturating_sub(1).max(1);
+        let turn = 1 + usize::try_from(round).unwrap_or(0) % others;
+        let tried = ranked.first().into_iter().chain(ranked.get(turn));
+        tried.map(|(vm, _)| (*vm).clone()).collect()
+    }
+
+    /// Returns the VMs of a zone with their ranks as relays.
+    fn ranked<'a>(
+        &'a self,
+        now: Time,
+        zone: &'a ZoneName,
+    ) -> impl Iterator<Item = (&'a VmName, Rank)> {
+        let of_zone = self.vms.iter().filter(move |(_, other)| *other == zone);
+        of_zone.map(move |(vm, _)| {
+            let (able, age) = if *vm == self.setup.vm {
+                (self.gossip.able, self.age(now))
+            } else if let Some(source) = self.role.as_ref().and_then(|role| role.heard(vm)) {
+                (source.able, source.age)
+            } else {
+                let known = self.member(vm);
+                let age = |settled| if settled { self.setup.window } else { Span::ZERO };
+                known.map_or((true, Span::ZERO), |m| (m.gossip.able, age(m.settled)))
+            };
+            (vm, Rank::new((zone, vm), able, (age, self.setup.window)))
+        })
+    }
+
+    fn member(&self, vm: &VmName) -> Option<&Member> {
+        let of_role = self.role.as_ref().and_then(|role| role.region.member(vm));
+        of_role
+            .or_else(|| self.region.as_ref()?.members.get(vm))
+            .or_else(|| self.former.as_ref()?.members.get(vm))
+    }
+
+    /// Chooses another relay if the present one is silent or another one goes before it.
+    fn choose_relay(&mut self, now: Time) {
+        self.excluded.retain(|_, until| now < *until);
+        if let Some(role) = &self.role {
+            let zone = &self.setup.zone;
+            let (me, window) = (&self.setup.vm, self.setup.window);
+            let mine = Rank::new((zone, me), self.gossip.able, (self.age(now), window));
+            let context = self.context(now);
+            let others = role
+                .relays_of(&context, &self.vms, zone)
+                .map(|(vm, source)| (vm, Rank::new((zone, vm), source.able, (source.age, window))));
+            let live = |vm: &VmName| {
+                role.members.get(vm).is_some_and(|s| now - s.last_seen < self.timing.timeout)
+            };
+            let members = self.ranked(now, zone).filter(|(vm, _)| !self.gossip.able && live(vm));
+            let better = best(others.chain(members)).cloned();
+            if let Some(better) = better.filter(|vm| self.rank_of(now, vm) > Some(mine)) {
+                self.step_down(now, better);
+            }
+            return;
+        }
+        let last_seen = self.region.as_ref().map_or(self.relay_since, |source| source.last_seen);
+        let last_seen = last_seen.max(self.relay_since);
+        if self.relay == self.setup.vm || !self.vms.contains_key(&self.relay) {
+            self.change_relay(now);
+        } else if now - last_seen >= self.timing.timeout {
+            self.excluded.insert(self.relay.clone(), now + EXCLUSION_TIME);
+            self.change_relay(now);
+        }
+    }
+
+    fn rank_of(&self, now: Time, vm: &VmName) -> Option<Rank> {
+        self.ranked(now, &self.setup.zone).find(|(other, _)| *other == vm).map(|(_, rank)| rank)
+    }
+
+    /// Chooses the best VM of the zone that is not excluded.
+    fn change_relay(&mut self, now: Time) {
+        let ranked = self.ranked(now, &self.setup.zone);
+        let best = best(ranked.filter(|(vm, _)| !self.excluded.contains_key(*vm))).cloned();
+        let best = best.unwrap_or_else(|| self.setup.vm.clone());
+        self.report_to(now, best);
+    }
+
+    /// Reports to another relay from now on, or becomes the relay.
+    fn report_to(&mut self, now: Time, relay: VmName) {
+        if let Some(region) = self.region.take()
+            && self.is_counted_in(&region)
+        {
+            self.former = Some(region);
+        }
+        (self.relay, self.relay_since) = (relay, now);
+        if self.relay == self.setup.vm {
+            self.roles += 1;
+            let mut role = Relay::default();
+            if let Some(former) = self.former.take() {
+                role.take_over(&former, self.step);
+            }
+            self.role = Some(role);
+        }
+        self.is_urgent = true;
+    }
+
+    fn is_counted_in(&self, source: &Source) -> bool {
+        let member = source.members.get(&self.setup.vm);
+        member.is_some_and(|m| m.shares && m.incarnation == self.setup.incarnation)
+    }
+
+    /// Gives up the role of relay.
+    fn step_down(&mut self, now: Time, relay: VmName) {
+        if let Some(role) = self.role.take() {
+            let me = role.members.get(&self.setup.vm);
+            let revision = me.map_or(0, |source| source.ack().revision);
+            let heard = Ack { incarnation: self.setup.incarnation, revision };
+            let digest = self.digest(now, Scope::Region, heard, Delta::default());
+            self.former = Some(Source::from_table(now, &digest, &role.region, self.step));
+            self.misled = role.members.into_keys().filter(|vm| *vm != self.setup.vm).collect();
+        }
+        self.region = None;
+        (self.relay, self.relay_since) = (relay, now);
+        self.is_urgent = true;
+    }
+
+    /// Processes a message of another VM.
+    pub fn receive(&mut self, now: Time, digest: Digest) {
+        self.start(now);
+        match (digest.scope, self.role.take()) {
+            (Scope::Vm, Some(mut role)) => {
+                role.receive_member(&self.context(now), digest);
+                self.role = Some(role);
+            }
+            (Scope::Zone, Some(mut role)) => {
+                self.take_former_usage(now, &digest.former);
+                role.receive_zone(&self.context(now), digest);
+                self.role = Some(role);
+            }
+            (Scope::Vm, None) => drop(self.misled.insert(digest.from)),
+            (Scope::Region, None) if digest.from == self.relay => self.receive_region(now, digest),
+            (_, role) => self.role = role,
+        }
+    }
+
+    fn receive_region(&mut self, now: Time, digest: Digest) {
+        if digest.relay != digest.from {
+            let is_usable = self.vms.get(&digest.relay) == Some(&self.setup.zone)
+                && !self.excluded.contains_key(&digest.relay);
+            if is_usable {
+                self.report_to(now, digest.relay);
+            } else {
+                self.relay_since = now;
+            }
+            return;
+        }
+        let (step, timeout) = (self.step, self.timing.timeout);
+        if self.region.as_ref().is_none_or(|region| region.incarnation != digest.incarnation) {
+            let is_first = self.region.is_none();
+            if let Some(region) = self.region.take()
+                && self.is_counted_in(&region)
+            {
+                self.former = Some(region);
+            }
+            if !is_first && digest.age < self.age(now) {
+                // The relay has started anew and lacks what it knew before.
+                self.excluded.insert(digest.from, now + EXCLUSION_TIME);
+                self.change_relay(now);
+                return;
+            }
+            self.region = Some(Source::new(now, &digest, step));
+        }
+        if let Some(region) = &mut self.region {
+            // The relay counts for this VM; the differences are not added to any table.
+            let _ = region.apply(now, digest, timeout);
+        }
+    }
+}
--- /dev/null
+++ b/crates/spread/src/table.rs
@@ -0,0 +1,161 @@
+//! A table with a revision for each change, of which receivers get only what they have not yet
+//! acknowledged.
+
+use std::collections::{BTreeMap, HashMap};
+
+use model::{AccountName, VmName};
+
+use crate::digest::{Delta, Member};
+
+/// Maximum number of entries in a message, which keeps a datagram below the maximum size.
+const MAX_ENTRIES: usize = 1_500;
+
+#[derive(Clone, Copy, Debug)]
+struct Cell {
+    units: u64,
+    revision: u64,
+}
+
+/// The usage of one account by step, oldest first.
+#[derive(Debug)]
+struct Account {
+    number: u32,
+    /// Revision in which the account got its number.
+    numbered: u64,
+    steps: BTreeMap<u64, Cell>,
+    /// Revision of the last change.
+    revision: u64,
+}
+
+/// Live VMs, and the usage of accounts by step.
+#[derive(Debug, Default)]
+pub(crate) struct Table {
+    revision: u64,
+    /// Number of the next account.
+    next_number: u32,
+    accounts: HashMap<AccountName, Account>,
+    members: BTreeMap<VmName, (u64, Option<Member>)>,
+}
+
+impl Table {
+    pub(crate) fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Adds `units`, which may be negative, to the usage of an account in a step.
+    pub(crate) fn add(&mut self, name: &AccountName, step: u64, units: i64) {
+        if units == 0 {
+            return;
+        }
+        if !self.accounts.contains_key(name) {
+            self.revision += 1;
+            let (number, numbered) = (self.next_number, self.revision);
+            self.next_number = self.next_number.wrapping_add(1);
+            let account = Account { number, numbered, steps: BTreeMap::new(), revision: numbered };
+            self.accounts.insert(name.clone(), account);
+        }
+        self.revision += 1;
+        if let Some(account) = self.accounts.get_mut(name) {
+            account.revision = self.revision;
+            let cell = account.steps.entry(step).or_insert(Cell { units: 0, revision: 0 });
+            cell.units = cell.units.saturating_add_signed(units);
+            cell.revision = self.revision;
+        }
+    }
+
+    /// Takes `units` from the newest steps of an account.
+    pub(crate) fn take(&mut self, name: &AccountName, units: u64) {
+        let mut left = units;
+        let steps: Vec<(u64, u64)> = self.steps(name).collect();
+        for (step, used) in steps.into_iter().rev() {
+            let part = left.min(used);
+            self.add(name, step, -i64::try_from(part).unwrap_or(i64::MAX));
+            left -= part;
+        }
+    }
+
+    /// Replaces the live VMs.
+    pub(crate) fn set_members(&mut self, live: &BTreeMap<VmName, Member>) {
+        for (vm, (revision, member)) in &mut self.members {
+            if member.is_some() && !live.contains_key(vm) {
+                self.revision += 1;
+                (*revision, *member) = (self.revision, None);
+            }
+        }
+        for (vm, member) in live {
+            if self.members.get(vm).is_some_and(|(_, known)| known.as_ref() == Some(member)) {
+                continue;
+            }
+            self.revision += 1;
+            self.members.insert(vm.clone(), (self.revision, Some(member.clone())));
+        }
+    }
+
+    pub(crate) fn members(&self) -> impl Iterator<Item = (&VmName, &Member)> {
+        self.members.iter().filter_map(|(vm, (_, member))| Some((vm, member.as_ref()?)))
+    }
+
+    pub(crate) fn member(&self, vm: &VmName) -> Option<&Member> {
+        self.members.get(vm)?.1.as_ref()
+    }
+
+    /// Returns the usage of an account by step, oldest first.
+    pub(crate) fn steps(&self, name: &AccountName) -> impl Iterator<Item = (u64, u64)> {
+        let account = self.accounts.get(name).into_iter();
+        account.flat_map(|account| account.steps.iter().map(|(step, cell)| (*step, cell.units)))
+    }
+
+    pub(crate) fn accounts(&self) -> impl Iterator<Item = &AccountName> {
+        self.accounts.keys()
+    }
+
+    /// Removes the usage of steps before `first`. Receivers do so by themselves.
+    pub(crate) fn expire(&mut self, first: u64) {
+        self.accounts.retain(|_, account| {
+            while account.steps.first_key_value().is_some_and(|(step, _)| *step < first) {
+                account.steps.pop_first();
+            }
+            !account.steps.is_empty()
+        });
+    }
+
+    /// Returns the changes after revision `base`, or the oldest of them if they are too many for a
+    /// message that is sent in step `now`.
+    pub(crate) fn delta(&self, base: u64, now: u64) -> Delta {
+        let latest = self.revision;
+        let mut revision = latest;
+        let mut revisions: Vec<u64> = self.changes(base).collect();
+        if revisions.len() > MAX_ENTRIES {
+            revision = *revisions.select_nth_unstable(MAX_ENTRIES - 1).1;
+        }
+        let is_included = |changed: u64| changed > base && changed <= revision;
+        let members = self.members.iter().filter(|(_, (changed, member))| {
+            is_included(*changed) && (base > 0 || member.is_some())
+        });
+        let members = members.map(|(vm, (_, member))| (vm.clone(), member.clone())).collect();
+        let (mut names, mut usage) = (Vec::new(), Vec::new());
+        for (name, account) in self.accounts.iter().filter(|(_, a)| a.revision > base) {
+            if is_included(account.numbered) {
+                names.push((account.number, name.clone()));
+            }
+            let steps = account.steps.iter().filter(|(_, cell)| is_included(cell.revision));
+            let ago = |step: u64| now.cast_signed().wrapping_sub(step.cast_signed());
+            let steps: Vec<_> = steps.map(|(step, cell)| (ago(*step), cell.units)).collect();
+            if !steps.is_empty() {
+                usage.push((account.number, steps));
+            }
+        }
+        Delta { base, revision, latest, members, names, usage }
+    }
+
+    /// Returns the revisions of all entries that changed after revision `base`.
+    fn changes(&self, base: u64) -> impl Iterator<Item = u64> {
+        let members = self.members.values().map(|(revision, _)| *revision);
+        let changed = self.accounts.values().filter(move |a| a.revision > base);
+        let cells = changed.flat_map(|account| {
+            let steps = account.steps.values().map(|cell| cell.revision);
+            steps.chain([account.numbered])
+        });
+        members.chain(cells).filter(move |revision| *revision > base)
+    }
+}
