--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -171,6 +171,9 @@
     }
 
     async fn run(mut self) -> Response<Body> {
+        if let Err(failure) = self.frontend.check_stop(self.deadline) {
+            return self.fail(&failure);
+        }
         loop {
             let failure = match self.send(None).await {
                 Ok(response)
--- a/crates/relay/src/frontend.rs
+++ b/crates/relay/src/frontend.rs
@@ -8,7 +8,7 @@
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use backend::Client;
@@ -35,6 +35,15 @@
 
 pub(crate) type SharedRestraints = Mutex<Restraints>;
 
+/// The times of a planned stop.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct StopTimes {
+    /// From then on, no request is taken that may last until the process ends.
+    pub(crate) drain: Instant,
+    /// By then, every caller has an answer, as the process is about to be killed.
+    pub(crate) end: Instant,
+}
+
 /// The state shared by all request tasks of an entry VM.
 pub(crate) struct Frontend {
     pub(crate) dialect: Arc<dyn Dialect>,
@@ -43,6 +52,8 @@
     pub(crate) plan_versions: watch::Receiver<u64>,
     pub(crate) plan_confirmed: Arc<AtomicU64>,
     pub(crate) stopping: Arc<AtomicBool>,
+    /// The times of a planned stop, once it has begun.
+    pub(crate) stop_times: watch::Receiver<Option<StopTimes>>,
     /// Time for which keys are accepted after the plan was last confirmed to be current.
     pub(crate) key_lease: Span,
     pub(crate) handle: SchedulerHandle,
@@ -90,6 +101,33 @@
             && self.is_plan_fresh()
     }
 
+    /// Refuses a request that may still be in progress when this process ends.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal if this VM drains its connections and the deadline is after its end.
+    pub(crate) fn check_stop(&self, deadline: Instant) -> Result<(), RequestFailure> {
+        let times = *self.stop_times.borrow();
+        if times.is_some_and(|times| Instant::now() >= times.drain && deadline > times.end) {
+            return Err(not_run(RefusalReason::Stopping, Some(RETRY_AFTER)));
+        }
+        Ok(())
+    }
+
+    /// Completes when every caller must have an answer, as this process is about to end.
+    pub(crate) async fn stop_ends(&self) {
+        let mut times = self.stop_times.clone();
+        let times = match times.wait_for(Option::is_some).await {
+            Ok(times) => *times,
+            // The process goes on without a planned stop.
+            Err(_) => None,
+        };
+        match times {
+            Some(times) => tokio::time::sleep_until(times.end.into()).await,
+            None => std::future::pending().await,
+        }
+    }
+
     /// Waits for the first plan after the start, for at most a third of the caller's timeout.
     pub(crate) async fn wait_for_plan(&self, caller_timeout: Option<Duration>) {
         let longest = caller_timeout.map_or(PLAN_WAIT, |t| PLAN_WAIT.min(t / 3));
--- a/crates/relay/src/listen.rs
+++ b/crates/relay/src/listen.rs
@@ -4,7 +4,7 @@
     convert::Infallible,
     future::Future,
     sync::{Arc, atomic::Ordering},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use bytes::Bytes;
@@ -15,11 +15,12 @@
     rt::{TokioIo, TokioTimer},
     server::graceful::GracefulShutdown,
 };
+use model::RefusalReason;
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::{
-    forward::{Body, forward},
-    frontend::Frontend,
+    forward::{Body, fail, forward},
+    frontend::{Frontend, may_have_run},
 };
 
 /// Delay after a failed accept, for example because of a lack of file descriptors.
@@ -79,7 +80,16 @@
     frontend: Arc<Frontend>,
     request: Request<Incoming>,
 ) -> Result<Response<Body>, Infallible> {
-    let mut response = forward(Arc::clone(&frontend), request).await;
+    let mut response = if let Err(failure) = frontend.check_stop(Instant::now()) {
+        fail(&frontend, "", &failure)
+    } else {
+        tokio::select! {
+            response = forward(Arc::clone(&frontend), request) => response,
+            () = frontend.stop_ends() => {
+                fail(&frontend, "", &may_have_run(RefusalReason::Stopping))
+            }
+        }
+    };
     if frontend.stopping.load(Ordering::Relaxed) {
         response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -9,7 +9,7 @@
         Arc,
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use backend::{Client, Timeouts};
@@ -29,7 +29,7 @@
     dialect::Dialect,
     error::{Error, ErrorKind},
     event_loop::{self, Environment, SharedPlan},
-    frontend::{Frontend, SharedRestraints},
+    frontend::{Frontend, SharedRestraints, StopTimes},
     listen,
     quota::{QuotaConfig, Quotas},
     retry_budget::RetryBudgets,
@@ -41,6 +41,8 @@
 const DRAIN_DELAY: Duration = Duration::from_millis(2_500);
 /// Time reserved before the process would be killed.
 const KILL_MARGIN: Duration = Duration::from_millis(300);
+/// Time for the last answers to reach their callers, before the time that is reserved.
+const ANSWER_MARGIN: Duration = Duration::from_millis(150);
 /// Time without an answer of any control VM after which this VM leaves it to other entry VMs to
 /// grant servers, because its information about the servers is outdated. It is several times as
 /// long as a control VM delays its answer when it has no changes to report.
@@ -95,6 +97,7 @@
     frontend: Arc<Frontend>,
     control_client: Arc<ControlClient>,
     stop: watch::Sender<bool>,
+    stop_times: watch::Sender<Option<StopTimes>>,
     callers: JoinHandle<bool>,
     stop_time: Duration,
 }
@@ -205,12 +208,14 @@
         tokio::spawn(Arc::clone(&control_client).run());
         let receiver_handle = handle.clone();
         tokio::spawn(receive_datagrams(incoming, receiver_handle));
+        let (stop_times, times) = watch::channel(None);
         let frontend = Arc::new(Frontend {
             dialect,
             plan_state,
             plan_versions,
             plan_confirmed,
             stopping,
+            stop_times: times,
             key_lease: config.key_lease,
             handle,
             client: Client::new(BACKEND_TIMEOUTS),
@@ -231,14 +236,16 @@
         }));
         let listener = bind(config.callers).await?;
         let (stop, stopped) = watch::channel(false);
-        let drain_timeout = config.stop_time.saturating_sub(DRAIN_DELAY + KILL_MARGIN);
+        let drain_timeout =
+            config.stop_time.saturating_sub(drain_delay(config.stop_time) + KILL_MARGIN);
         let callers = tokio::spawn(listen::serve(
             listener,
             Arc::clone(&frontend),
             stop_requested(stopped),
             drain_timeout,
         ));
-        Ok(Self { frontend, control_client, stop, callers, stop_time: config.stop_time })
+        let stop_time = config.stop_time;
+        Ok(Self { frontend, control_client, stop, stop_times, callers, stop_time })
     }
 
     /// Adds the control VMs that changed settings name. Known control VMs stay.
@@ -250,7 +257,10 @@
     /// requests in flight. Returns whether all of them were finished in time.
     pub async fn stop(self) -> bool {
         self.frontend.stopping.store(true, Ordering::Relaxed);
-        tokio::time::sleep(DRAIN_DELAY.min(self.stop_time / 2)).await;
+        let (now, delay) = (Instant::now(), drain_delay(self.stop_time));
+        let end = now + self.stop_time.saturating_sub(KILL_MARGIN + ANSWER_MARGIN);
+        self.stop_times.send_replace(Some(StopTimes { drain: now + delay, end }));
+        tokio::time::sleep(delay).await;
         // The send fails only if the listener task has already ended. The task also stops when the
         // sender is dropped.
         let _ = self.stop.send(true);
@@ -258,6 +268,11 @@
     }
 }
 
+/// Returns the time between failing the readiness check and closing the listener.
+fn drain_delay(stop_time: Duration) -> Duration {
+    DRAIN_DELAY.min(stop_time / 2)
+}
+
 async fn stop_requested(mut stopped: watch::Receiver<bool>) {
     let _ = stopped.wait_for(|stopped| *stopped).await;
 }
