--- a/crates/spread/src/spread.rs
+++ b/crates/spread/src/spread.rs
@@ -7,13 +7,15 @@
 
 use crate::{
     digest::{Ack, Delta, Digest, Member, Scope},
-    ranking::{Rank, best},
     relay::{Context, Relay},
     source::{Admission, Source},
     table::Table,
     timing::Timing,
 };
 
+mod selection;
+mod usage;
+
 /// Number of steps in which a window is counted.
 const WINDOW_STEPS: u64 = 32;
 /// Number of steps by which usage may be counted as older than it is: one at the VM that used the
@@ -202,91 +204,12 @@
         &self.relay
     }
 
-    /// Records units that were used at this VM, or that were refunded if they are negative.
-    pub fn record(&mut self, now: Time, account: &AccountName, units: i64) {
-        self.start(now);
-        self.record_at(now, account, units);
-    }
-
-    fn record_at(&mut self, at: Time, account: &AccountName, units: i64) {
-        if units >= 0 {
-            self.own.add(account, self.step_of(at), units);
-        } else {
-            self.own.take(account, units.unsigned_abs());
-        }
-        let revision = self.own.revision();
-        let charges = self.charges.entry(account.clone()).or_default();
-        // All units that were used since the last message are acknowledged together.
-        match charges.back_mut() {
-            Some(last)
-                if last.revision > self.sent.0
-                    && (last.units >= 0) == (units >= 0)
-                    && last.at <= at
-                    && at - last.at < self.step =>
-            {
-                (last.revision, last.units) = (revision, last.units + units);
-            }
-            _ => charges.push_back(Charge { at, revision, units }),
-        }
-    }
-
-    /// Records units that the VM's former process used, each entry with its age.
-    pub fn restore(&mut self, now: Time, account: &AccountName, recent: &[(Span, u64)]) {
-        self.start(now);
-        for (age, units) in recent {
-            let at = Time::from_micros(now.as_micros().saturating_sub(age.as_micros()));
-            self.record_at(at, account, i64::try_from(*units).unwrap_or(i64::MAX));
-        }
-    }
-
-    /// Returns the units used at this VM by account, each entry with its age, oldest first.
-    pub fn own_usage(&self, now: Time) -> impl Iterator<Item = (&AccountName, Vec<(Span, u64)>)> {
-        let first = self.first_counted(now);
-        self.own.accounts().map(move |account| {
-            let steps = self.own.steps(account).map(|(step, units)| (self.start_of(step), units));
-            let steps = steps.filter(|(start, units)| *start >= first && *units > 0);
-            (account, steps.map(|(start, units)| (now - start, units)).collect())
-        })
-    }
-
-    /// Returns the units of an account that the VMs that share with this one used in the last window,
-    /// and before they were separated from others, all VMs.
-    #[must_use]
-    pub fn used(&self, now: Time, account: &AccountName) -> Used {
-        let me = &self.setup.vm;
-        let (mut steps, heard): (Vec<(Time, u64)>, u64) = if let Some(role) = &self.role {
-            let steps =
-                role.region.steps(account).map(|(step, units)| (self.start_of(step), units));
-            (steps.collect(), role.members.get(me).map_or(0, |source| source.ack().revision))
-        } else if let Some(source) = self.counting_source() {
-            (source.steps(account).collect(), source.heard.revision)
-        } else {
-            (Vec::new(), 0)
-        };
-        let first = self.first_counted(now);
-        steps.retain(|(start, units)| *start >= first && *units > 0);
-        let charges = self.charges.get(account).into_iter().flatten();
-        let mut refunded = 0;
-        for charge in charges.filter(|c| c.revision > heard && c.at >= first) {
-            match u64::try_from(charge.units) {
-                Ok(units) => steps.push((charge.at, units)),
-                Err(_) => refunded += charge.units.unsigned_abs(),
-            }
-        }
-        steps.sort_by_key(|(start, _)| *start);
-        for (_, units) in steps.iter_mut().rev() {
-            let part = refunded.min(*units);
-            (*units, refunded) = (*units - part, refunded - part);
-        }
-        Used { steps }
-    }
-
     /// Returns the source whose sums count for this VM.
     fn counting_source(&self) -> Option<&Source> {
         self.region.as_ref().filter(|s| self.is_counted_in(s)).or(self.former.as_ref())
     }
 
-    /// Returns the start of the oldest step that counts, and how long a step counts.
+    /// Returns the start of the oldest step that counts.
     fn first_counted(&self, now: Time) -> Time {
         Time::from_micros(now.as_micros().saturating_sub(self.counted_time().as_micros()))
     }
@@ -420,25 +343,6 @@
         self.update_sharing(now);
     }
 
-    /// Drops charges that the region's sums have, and those that are no longer in the window. The next
-    /// sums may lack the charges of the time in which a relay is replaced.
-    fn drop_counted_charges(&mut self, now: Time) {
-        let first = self.first_counted(now);
-        let me = &self.setup.vm;
-        let own = self.role.as_ref().and_then(|role| role.members.get(me));
-        let views = [self.region.as_ref(), self.former.as_ref()].into_iter().flatten();
-        let heard = views.map(|source| source.heard.revision);
-        let heard = heard.chain(own.map(|source| source.ack().revision)).min().unwrap_or(0);
-        let give_up = self.timing.give_up();
-        self.charges.retain(|_, charges| {
-            charges.retain(|charge| {
-                let is_counted = charge.revision <= heard && now - charge.at >= give_up;
-                charge.at >= first && !is_counted
-            });
-            !charges.is_empty()
-        });
-    }
-
     fn update_sharing(&mut self, now: Time) {
         let me = &self.setup.vm;
         self.sharing = if let Some(role) = &self.role {
@@ -567,168 +471,6 @@
         messages
     }
 
-    /// Returns what a relay's former process told, if the present one has just started.
-    fn former_usage(&self, now: Time, source: &Source) -> Vec<(AccountName, Vec<(Span, u64)>)> {
-        if now - source.connected_at >= self.timing.give_up() {
-            return Vec::new();
-        }
-        let aged = |(start, units): &(Time, u64)| (now - *start, *units);
-        let of_account = |(name, steps): &(AccountName, Vec<(Time, u64)>)| {
-            (name.clone(), steps.iter().map(aged).collect())
-        };
-        source.former.iter().map(of_account).collect()
-    }
-
-    /// Takes over what this VM's former process told another relay, as far as it is not restored yet.
-    fn take_former_usage(&mut self, now: Time, former: &[(AccountName, Vec<(Span, u64)>)]) {
-        let Some(started) = self.started.filter(|_| !former.is_empty() && !self.is_told) else {
-            return;
-        };
-        self.is_told = true;
-        let first = self.first_counted(now);
-        for (account, steps) in former {
-            let steps = steps.iter().filter(|(age, _)| first + *age <= now);
-            let told: u64 = steps.clone().map(|(_, units)| units).sum();
-            let own = self.own.steps(account).filter(|(step, _)| self.start_of(*step) < started);
-            let restored: u64 = own.map(|(_, units)| units).sum();
-            // The newest usage is what the former process had not reported to the control VMs.
-            let mut missing = told.saturating_sub(restored);
-            let mut recent = Vec::new();
-            for (age, units) in steps.rev() {
-                let part = missing.min(*units);
-                missing -= part;
-                recent.push((*age, part));
-            }
-            self.restore(now, account, &recent);
-        }
-    }
-
-    /// Returns the VMs of a zone that may be its relay: the best one, and another one in turn.
-    fn tried_vms(&self, now: Time, zone: &ZoneName) -> Vec<VmName> {
-        let reports = |vm: &VmName| {
-            let source = self.role.as_ref().and_then(|role| role.members.get(vm));
-            source.is_some_and(|source| now - source.last_seen < self.timing.timeout)
-        };
-        let mut ranked: Vec<(&VmName, Rank)> = self.ranked(now, zone).collect();
-        ranked.retain(|(vm, _)| **vm != self.setup.vm && !reports(vm));
-        ranked.sort_by(|(_, a), (_, b)| b.partial_cmp(a).unwrap_or(std::cmp::Ordering::Equal));
-        let round = now.as_micros() / self.timing.timeout.as_micros().max(1);
-        let others = ranked.len().saturating_sub(1).max(1);
-        let turn = 1 + usize::try_from(round).unwrap_or(0) % others;
-        let tried = ranked.first().into_iter().chain(ranked.get(turn));
-        tried.map(|(vm, _)| (*vm).clone()).collect()
-    }
-
-    /// Returns the VMs of a zone with their ranks as relays.
-    fn ranked<'a>(
-        &'a self,
-        now: Time,
-        zone: &'a ZoneName,
-    ) -> impl Iterator<Item = (&'a VmName, Rank)> {
-        let of_zone = self.vms.iter().filter(move |(_, other)| *other == zone);
-        of_zone.map(move |(vm, _)| {
-            let (able, age) = if *vm == self.setup.vm {
-                (self.gossip.able, self.age(now))
-            } else if let Some(source) = self.role.as_ref().and_then(|role| role.heard(vm)) {
-                (source.able, source.age)
-            } else {
-                let known = self.member(vm);
-                let age = |settled| if settled { self.setup.window } else { Span::ZERO };
-                known.map_or((true, Span::ZERO), |m| (m.gossip.able, age(m.settled)))
-            };
-            (vm, Rank::new((zone, vm), able, (age, self.setup.window)))
-        })
-    }
-
-    fn member(&self, vm: &VmName) -> Option<&Member> {
-        let of_role = self.role.as_ref().and_then(|role| role.region.member(vm));
-        of_role
-            .or_else(|| self.region.as_ref()?.members.get(vm))
-            .or_else(|| self.former.as_ref()?.members.get(vm))
-    }
-
-    /// Chooses another relay if the present one is silent or another one goes before it.
-    fn choose_relay(&mut self, now: Time) {
-        self.excluded.retain(|_, until| now < *until);
-        if let Some(role) = &self.role {
-            let zone = &self.setup.zone;
-            let (me, window) = (&self.setup.vm, self.setup.window);
-            let mine = Rank::new((zone, me), self.gossip.able, (self.age(now), window));
-            let context = self.context(now);
-            let others = role
-                .relays_of(&context, &self.vms, zone)
-                .map(|(vm, source)| (vm, Rank::new((zone, vm), source.able, (source.age, window))));
-            let live = |vm: &VmName| {
-                role.members.get(vm).is_some_and(|s| now - s.last_seen < self.timing.timeout)
-            };
-            let members = self.ranked(now, zone).filter(|(vm, _)| !self.gossip.able && live(vm));
-            let better = best(others.chain(members)).cloned();
-            if let Some(better) = better.filter(|vm| self.rank_of(now, vm) > Some(mine)) {
-                self.step_down(now, better);
-            }
-            return;
-        }
-        let last_seen = self.region.as_ref().map_or(self.relay_since, |source| source.last_seen);
-        let last_seen = last_seen.max(self.relay_since);
-        if self.relay == self.setup.vm || !self.vms.contains_key(&self.relay) {
-            self.change_relay(now);
-        } else if now - last_seen >= self.timing.timeout {
-            self.excluded.insert(self.relay.clone(), now + EXCLUSION_TIME);
-            self.change_relay(now);
-        }
-    }
-
-    fn rank_of(&self, now: Time, vm: &VmName) -> Option<Rank> {
-        self.ranked(now, &self.setup.zone).find(|(other, _)| *other == vm).map(|(_, rank)| rank)
-    }
-
-    /// Chooses the best VM of the zone that is not excluded.
-    fn change_relay(&mut self, now: Time) {
-        let ranked = self.ranked(now, &self.setup.zone);
-        let best = best(ranked.filter(|(vm, _)| !self.excluded.contains_key(*vm))).cloned();
-        let best = best.unwrap_or_else(|| self.setup.vm.clone());
-        self.report_to(now, best);
-    }
-
-    /// Reports to another relay from now on, or becomes the relay.
-    fn report_to(&mut self, now: Time, relay: VmName) {
-        if let Some(region) = self.region.take()
-            && self.is_counted_in(&region)
-        {
-            self.former = Some(region);
-        }
-        (self.relay, self.relay_since) = (relay, now);
-        if self.relay == self.setup.vm {
-            self.roles += 1;
-            let mut role = Relay::default();
-            if let Some(former) = self.former.take() {
-                role.take_over(&former, self.step);
-            }
-            self.role = Some(role);
-        }
-        self.is_urgent = true;
-    }
-
-    fn is_counted_in(&self, source: &Source) -> bool {
-        let member = source.members.get(&self.setup.vm);
-        member.is_some_and(|m| m.shares && m.incarnation == self.setup.incarnation)
-    }
-
-    /// Gives up the role of relay.
-    fn step_down(&mut self, now: Time, relay: VmName) {
-        if let Some(role) = self.role.take() {
-            let me = role.members.get(&self.setup.vm);
-            let revision = me.map_or(0, |source| source.ack().revision);
-            let heard = Ack { incarnation: self.setup.incarnation, revision };
-            let digest = self.digest(now, Scope::Region, heard, Delta::default());
-            self.former = Some(Source::from_table(now, &digest, &role.region, self.step));
-            self.misled = role.members.into_keys().filter(|vm| *vm != self.setup.vm).collect();
-        }
-        self.region = None;
-        (self.relay, self.relay_since) = (relay, now);
-        self.is_urgent = true;
-    }
-
     /// Processes a message of another VM.
     pub fn receive(&mut self, now: Time, digest: Digest) {
         self.start(now);
