Do not call a request not run while it is being sent

A caller may leave between the dispatch of its call and the head of the response.

The context now knows that the request is being sent, from before the first byte until the backend client says that none was written.

Test: orders call_whose_caller_left_before_the_answer_is_never_run_again. Before: the resend was answered 200, two runs for one key. After: one run, the resend is told that the first may have run.

--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -31,6 +31,8 @@
     pub(crate) arrived: Instant,
     /// The idempotency key that this request has claimed.
     pub(crate) claim_key: Option<ClaimKey>,
+    /// Whether the request is being sent, so that a server may already have read it.
+    pub(crate) sending: bool,
     /// Set by [`RequestContext::mark_dispatched`].
     dispatched: bool,
     ended: bool,
@@ -64,6 +66,7 @@
             tier: None,
             arrived: Instant::now(),
             claim_key: None,
+            sending: false,
             dispatched: false,
             ended: false,
         }
@@ -106,7 +109,8 @@
         reason: RefusalReason,
         verdict: Verdict,
     ) -> (Refusal, tokio::sync::oneshot::Receiver<bool>) {
-        Invariant::NotRunTruth.check(verdict != Verdict::NotRun || !self.dispatched);
+        Invariant::NotRunTruth
+            .check(verdict != Verdict::NotRun || !(self.dispatched || self.sending));
         self.ended = true;
         let config = &self.app.config;
         config.meters.count_refusal(reason);
@@ -134,7 +138,8 @@
     fn drop(&mut self) {
         self.app.config.meters.change_open_requests(-1);
         if !self.ended {
-            let verdict = if self.dispatched { Verdict::MayHaveRun } else { Verdict::NotRun };
+            let may_have_run = self.dispatched || self.sending;
+            let verdict = if may_have_run { Verdict::MayHaveRun } else { Verdict::NotRun };
             // The caller left, so no response has to wait until the record is synced.
             let _ = self.record(RefusalReason::CallerLeft, verdict);
         }
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -146,6 +146,8 @@
         let client = context.app.config.client.clone();
         let id = context.request.to_string();
         let sending = client.send(address, &id, outgoing.build(context, address));
+        // The caller may leave before the head of the response has arrived, which drops the context.
+        context.sending = true;
         let result = tokio::select! {
             result = sending => result,
             () = wait_revoked(&mut submission) => {
@@ -159,7 +161,10 @@
                 context.mark_dispatched();
                 return Ok(RunningRequest { exchange, submission, sent, suspicion });
             }
-            Err(Failure::NotSent { .. }) => submission.finish(Outcome::NotSent),
+            Err(Failure::NotSent { .. }) => {
+                context.sending = false;
+                submission.finish(Outcome::NotSent);
+            }
             Err(failure) => {
                 context.mark_dispatched();
                 if matches!(failure, Failure::Broken { .. }) {
--- a/crates/fuchsiausher/tests/orders.rs
+++ b/crates/fuchsiausher/tests/orders.rs
@@ -1,6 +1,6 @@
 //! Non-idempotent calls run at most once for each idempotency key.
 
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use entry::ErrorBody;
 use fuchsiausher::{TestCluster, TestClusterConfig};
@@ -88,6 +88,25 @@
     cluster.stop().await;
 }
 
+/// A caller that leaves while its call runs does not know whether it ran, and sends it again.
+#[tokio::test(flavor = "multi_thread")]
+async fn call_whose_caller_left_before_the_answer_is_never_run_again() {
+    let cluster = TestCluster::start(TestClusterConfig::small()).await.unwrap();
+    let key = format!("{}-left", now_s());
+    cluster.servers[1].set_fault(Fault::Hang);
+    let left = tokio::time::timeout(Duration::from_secs(1), order(&cluster, 0, &key)).await;
+    assert!(left.is_err(), "the server answers nothing");
+    assert_eq!(runs(&cluster, &key), 1, "the server has read the call");
+    cluster.servers[1].set_fault(Fault::None);
+    for _ in 0..20 {
+        let again = order(&cluster, 0, &key).await;
+        assert_eq!(runs(&cluster, &key), 1, "{again:?}");
+        assert_eq!(error_body(&again).error.verdict, Verdict::MayHaveRun);
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    cluster.stop().await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn call_that_was_not_run_may_be_sent_again() {
     let mut cluster = TestCluster::start(TestClusterConfig::small()).await.unwrap();
