--- a/crates/driver/src/thread.rs
+++ b/crates/driver/src/thread.rs
@@ -6,7 +6,7 @@
 
 use std::{
     collections::HashMap,
-    io,
+    io, iter,
     sync::{Arc, mpsc},
     thread,
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
@@ -118,18 +118,16 @@
 
     /// Processes queued work, at most `MAX_BURST` items; returns `false` if the thread must end.
     fn process_queued(&mut self, first: Work, inbox: &mpsc::Receiver<Work>) -> bool {
-        let mut next = Some(first);
-        for _ in 0..MAX_BURST {
-            match next {
-                Some(Work::Input(input)) => self.process_input(input),
-                Some(Work::Submit { ticket, events }) => {
+        // Items are taken from the queue one by one, since one that was taken must be processed.
+        for work in iter::once(first).chain(inbox.try_iter()).take(MAX_BURST) {
+            match work {
+                Work::Input(input) => self.process_input(input),
+                Work::Submit { ticket, events } => {
                     self.events.insert(ticket.request, events);
                     self.step(Input::Submit { ticket });
                 }
-                Some(Work::Stop) => return false,
-                None => return true,
+                Work::Stop => return false,
             }
-            next = inbox.try_recv().ok();
         }
         true
     }
