Withdraw granted requests whose caller left before it read the grant

Such a request was reported as abandoned, and only queued ones were withdrawn from their broker, which kept the slot until the grant timed out after 12 s.

Tests: control calls, both.

--- a/crates/control/src/leader_calls.rs
+++ b/crates/control/src/leader_calls.rs
@@ -144,7 +144,7 @@
     /// Removes calls that have waited too long and returns their answers.
     pub(crate) fn expire(&mut self, now: Time) -> Vec<(u64, Answer)> {
         let answer = |p: PendingCall| {
-            let may_be_applied = p.sent && matches!(p.kind, CallKind::Command(_));
+            let may_be_applied = p.sent && !matches!(p.kind, CallKind::Read(_));
             (p.call, if may_be_applied { Answer::Unknown } else { Answer::NoQuorum })
         };
         let expired = self.pending.extract_if(.., |_, p| p.is_expired(now));
--- a/crates/control/src/request_lifecycle.rs
+++ b/crates/control/src/request_lifecycle.rs
@@ -172,7 +172,8 @@
         self.out.push(Output::Refused { request, reason, retry });
     }
 
-    /// Removes a request and reports its end to the home and, if it is queued, the broker.
+    /// Removes a request and reports its end to the home, and to the broker unless that knows it:
+    /// `ran` means that the broker was told how the granted request ended.
     fn close_request(&mut self, request: RequestId, ran: bool) {
         let Some(open) = self.requests.remove(request) else {
             return;
@@ -181,7 +182,12 @@
         if let Some(home) = open.home {
             self.send(home, Message::Release { request, account: account.clone(), ran });
         }
-        if let Phase::Queued(Route { broker: Some(broker), .. }) = open.phase {
+        let broker = match open.phase {
+            Phase::Queued(route) => route.broker,
+            Phase::Granted(route, _) if !ran => route.broker,
+            Phase::Granted(..) | Phase::Admitting => None,
+        };
+        if let Some(broker) = broker {
             self.send(broker, Message::Withdraw { service, request });
         }
         self.ended.insert(request, account);
