Refuse accounts twice in an edit, far times of issue, and entries that cannot be stored

- A key whose time of issue is at the top of its type overflowed: a panic of the control thread in checked builds, a false 'expired' in others.
- A log entry that could not be encoded was left out and reported as synced.
No entry is known that cannot be encoded, so this has no test.

--- a/crates/model/src/catalogue.rs
+++ b/crates/model/src/catalogue.rs
@@ -227,9 +227,14 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if two entries of the result have the same credential, or if an account to
-    /// remove does not exist.
+    /// Returns an error if two entries of the result have the same credential, if the edit puts an
+    /// account twice, or if an account to remove does not exist.
     pub fn edited(&self, edit: &Edit) -> Result<Self, Error> {
+        let mut accounts = BTreeSet::new();
+        if let Some(twice) = edit.put.iter().find(|entry| !accounts.insert(&entry.account)) {
+            let name = twice.account.to_string();
+            return Err(ErrorKind::Duplicate { what: "account", name }.into());
+        }
         let mut next = self.clone();
         next.revision += 1;
         for account in &edit.remove {
--- a/crates/state/src/claim.rs
+++ b/crates/state/src/claim.rs
@@ -81,10 +81,10 @@
         request: RequestId,
         owner: VmName,
     ) -> ClaimOutcome {
-        if key.issued + RETENTION_MS <= clock {
+        if key.issued.saturating_add(RETENTION_MS) <= clock {
             return ClaimOutcome::Expired;
         }
-        if key.issued > clock + MAX_AHEAD_MS {
+        if key.issued > clock.saturating_add(MAX_AHEAD_MS) {
             return ClaimOutcome::Ahead;
         }
         if let Some(existing) = self.by_key.get(&key) {
@@ -127,13 +127,13 @@
     /// Removes claims and released keys that are too old to be claimed again.
     pub(crate) fn expire(&mut self, clock: u64) {
         while let Some(first) = self.by_key.first_entry() {
-            if first.key().issued + RETENTION_MS > clock {
+            if first.key().issued.saturating_add(RETENTION_MS) > clock {
                 break;
             }
             first.remove();
         }
         while let Some((key, _)) = self.released.first() {
-            if key.issued + RETENTION_MS > clock {
+            if key.issued.saturating_add(RETENTION_MS) > clock {
                 break;
             }
             self.released.pop_first();
--- a/crates/state/tests/state.rs
+++ b/crates/state/tests/state.rs
@@ -157,3 +157,12 @@
     }
     assert!(State::decode(b"not a snapshot").is_err());
 }
+
+#[test]
+fn key_with_a_time_of_issue_at_the_top_of_its_type_lies_in_the_future() {
+    let mut state = State::default();
+    assert_eq!(apply_claim(&mut state, 1_000, claim(u64::MAX, 1)), ClaimOutcome::Ahead);
+    // A release may arrive without a claim, and is kept until the key is too old.
+    state.apply(1_000, release(u64::MAX, 1));
+    assert_eq!(apply_claim(&mut state, RETENTION_MS, claim(1_000, 2)), ClaimOutcome::Granted);
+}
--- a/crates/store/src/journal.rs
+++ b/crates/store/src/journal.rs
@@ -168,27 +168,24 @@
                 if let Some(snapshot) = &batch.snapshot {
                     put(SNAPSHOT_KEY, encode(snapshot))?;
                 }
-                write_entries(&mut entries, batch).change_context_lazy(failed)?;
+                write_entries(&mut entries, batch)?;
             }
         }
         txn.commit().change_context_lazy(failed)
     }
 }
 
-fn write_entries(
-    table: &mut redb::Table<'_, u64, &[u8]>,
-    batch: &WriteBatch,
-) -> std::result::Result<(), redb::StorageError> {
+fn write_entries(table: &mut redb::Table<'_, u64, &[u8]>, batch: &WriteBatch) -> Result<()> {
+    let failed = || Error::from(ErrorKind::Write("log"));
     if let Some(snapshot) = &batch.snapshot {
-        table.retain_in(..=snapshot.index, |_, _| false)?;
+        table.retain_in(..=snapshot.index, |_, _| false).change_context_lazy(failed)?;
     }
     if let Some(index) = batch.truncate {
-        table.retain_in(index.., |_, _| false)?;
+        table.retain_in(index.., |_, _| false).change_context_lazy(failed)?;
     }
     for entry in &batch.entries {
-        if let Some(record) = encode(entry) {
-            table.insert(entry.index, record.as_slice())?;
-        }
+        let record = encode(entry).ok_or_else(failed)?;
+        table.insert(entry.index, record.as_slice()).change_context_lazy(failed)?;
     }
     Ok(())
 }
