--- a/crates/host/src/listen.rs
+++ b/crates/host/src/listen.rs
@@ -4,13 +4,18 @@
 //! the control thread. Calls that are rejected, ignored, or answered with a status other than
 //! success are logged.
 
-use std::{convert::Infallible, sync::Arc, time::Duration};
+use std::{
+    convert::Infallible,
+    sync::{Arc, Mutex, PoisonError},
+    time::{Duration, Instant},
+};
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use logs::Repeats;
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::{
@@ -22,6 +27,8 @@
 const MAX_BODY_BYTES: usize = 64 << 20;
 /// Timeout for reading the head of a request.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(30);
+/// Number of bytes of a path that are logged for an ignored announcement.
+const MAX_LOGGED_PATH: usize = 160;
 /// Delay after a failed accept, which can be due to a lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
@@ -30,6 +37,8 @@
     pub(crate) dialect: Arc<dyn Dialect>,
     pub(crate) handle: Handle,
     pub(crate) port: u16,
+    /// The paths whose ignored announcements were logged.
+    pub(crate) ignored: Mutex<Repeats>,
 }
 
 impl CallListener {
@@ -87,7 +96,7 @@
                 response
             }
             Ok(Decoded::Ignored(why)) => {
-                spdlog::warn!("announcement ignored", kv: { path = head.uri.path(), why });
+                self.log_ignored(head.uri.path(), &why);
                 self.dialect.encode(
                     &keeper::Answer::Done { version: 0 },
                     Endpoint { port: self.port, path: "" },
@@ -97,6 +106,16 @@
         }
     }
 
+    /// Logs an ignored announcement, once in a while for each path: a server may repeat it several
+    /// times a second.
+    fn log_ignored(&self, path: &str, why: &str) {
+        let path = &path[..path.floor_char_boundary(MAX_LOGGED_PATH)];
+        let mut ignored = self.ignored.lock().unwrap_or_else(PoisonError::into_inner);
+        if ignored.is_due(path, Instant::now()) {
+            spdlog::warn!("announcement ignored", kv: { path, why });
+        }
+    }
+
     fn refuse(
         &self,
         head: &http::request::Parts,
--- a/crates/host/src/node.rs
+++ b/crates/host/src/node.rs
@@ -3,7 +3,12 @@
 //! [`Host::start`] opens the log, starts the control thread, and then accepts calls of other VMs
 //! and of operators and backend servers.
 
-use std::{net::SocketAddr, path::PathBuf, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    path::PathBuf,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
 
 use error_stack::{Report, ResultExt};
 use keeper::{Answer, Call, Input, Setup, Sync, Synced};
@@ -135,8 +140,12 @@
         let listener = TcpListener::bind(config.api_address)
             .await
             .change_context_lazy(|| Error::from(ErrorKind::Bind(config.api_address.to_string())))?;
-        let call_listener =
-            CallListener { dialect, handle: handle.clone(), port: config.api_address.port() };
+        let call_listener = CallListener {
+            dialect,
+            handle: handle.clone(),
+            port: config.api_address.port(),
+            ignored: Mutex::default(),
+        };
         tokio::spawn(Arc::new(call_listener).listen(listener));
         Ok(Self { handle })
     }
--- a/crates/logs/src/lib.rs
+++ b/crates/logs/src/lib.rs
@@ -13,11 +13,12 @@
 //! spdlog::info!(logger: logger, "request admitted", kv: { id = "9c41", plan = 7 });
 //! ```
 
+mod repeats;
 mod sink;
 
 use std::sync::Arc;
 
-pub use crate::sink::Sink;
+pub use crate::{repeats::Repeats, sink::Sink};
 
 /// Makes a logger that writes to standard output the default logger of this process.
 ///
