Look at the servers less often for each ticket

At 256 servers a home looked at all of them three times for each ticket, and looked up the zone of the ticket's entry VM for each server; with a standing queue it also added up the whole queue for each event. Now it looks for a free slot first, takes the zone once, and adds up the queue only if other VMs compete for the servers.

--- a/crates/broker/src/broker.rs
+++ b/crates/broker/src/broker.rs
@@ -266,14 +266,13 @@
         if !self.latency.is_calibrated() {
             return offer.ticket.budget;
         }
-        offer.ticket.budget
-            - self
-                .fastest_first_byte(&self.pool.snapshot(now, &self.queue.by_tier()), &offer.ticket)
+        let first = self.latency.first_byte(&offer.ticket, false) * self.pool.min_slowness(now);
+        offer.ticket.budget - Span::from_secs_f64(first)
     }
 
     /// Returns the predicted wait behind the tickets that wait here and at the other VMs.
     fn predicted_soft_wait(&self, now: Time, offer: &Offer) -> Span {
-        if self.pool.free_slots(now) > 0 || !self.latency.is_calibrated() {
+        if self.pool.has_free_slot(now) || !self.latency.is_calibrated() {
             return Span::ZERO;
         }
         let tier = offer.ticket.tier;
@@ -572,7 +571,10 @@
     /// Returns the first ticket in order that some server with a free slot suits. A ticket waits
     /// while as many tickets of higher tiers wait at other VMs as there are free slots.
     fn next_soft_grant(&self, now: Time) -> Option<(RequestId, ServerId)> {
-        let snapshot = self.pool.snapshot(now, &self.queue.by_tier());
+        if !self.pool.has_free_slot(now) {
+            return None;
+        }
+        let snapshot = self.pool.snapshot(now, || self.queue.by_tier());
         if snapshot.free_slots == 0 {
             return None;
         }
--- a/crates/broker/src/pool/choose.rs
+++ b/crates/broker/src/pool/choose.rs
@@ -1,6 +1,6 @@
 //! Choice of servers for tickets with a soft deadline.
 
-use model::{ServerId, TIER_COUNT, Time, VmName};
+use model::{ServerId, TIER_COUNT, Time, VmName, ZoneName};
 
 use crate::forecast::{Requirements, ServerState};
 
@@ -35,19 +35,33 @@
 }
 
 impl Pool {
-    /// Returns the number of free slots of all serving servers.
-    pub(crate) fn free_slots(&self, now: Time) -> u32 {
-        self.serving(now).map(|s| s.grantable(now, self.limit_share)).sum()
-    }
-
     /// Returns the seconds of work a second that all serving servers take, where a request of mean
     /// length takes `mean_total` seconds.
     pub(crate) fn speed(&self, now: Time, mean_total: f64) -> f64 {
         self.serving(now).map(|s| s.speed(now, self.limit_share, mean_total)).sum()
     }
 
-    /// Takes a snapshot of the servers, to choose among them for many tickets.
-    pub(crate) fn snapshot(&self, now: Time, own: &[(u32, f64); TIER_COUNT]) -> Snapshot<'_> {
+    /// Returns whether a serving server has a free slot.
+    pub(crate) fn has_free_slot(&self, now: Time) -> bool {
+        self.serving(now).any(|s| s.grantable(now, self.limit_share) > 0)
+    }
+
+    /// Returns the slowness of the fastest server, like [`Snapshot::min_slowness`].
+    pub(crate) fn min_slowness(&self, now: Time) -> f64 {
+        let slowness = |server: &Server| server.effective_slowness(now);
+        let active = self.serving(now).filter(|s| now >= s.suspended_until).map(slowness);
+        let fastest = active.min_by(f64::total_cmp);
+        let fastest = fastest.or_else(|| self.serving(now).map(slowness).min_by(f64::total_cmp));
+        fastest.unwrap_or(1.0)
+    }
+
+    /// Takes a snapshot of the servers, to choose among them for many tickets. `own` counts the
+    /// tickets that wait at this VM; it is called only if other VMs compete for the servers.
+    pub(crate) fn snapshot(
+        &self,
+        now: Time,
+        own: impl FnOnce() -> [(u32, f64); TIER_COUNT],
+    ) -> Snapshot<'_> {
         let contenders = self.contenders(own);
         let any_active = self.serving(now).any(|s| now >= s.suspended_until);
         let usable = self.serving(now).filter(move |s| !any_active || now >= s.suspended_until);
@@ -101,17 +115,17 @@
                 &|_| true
             };
         let free = snapshot.free.iter().filter(|(s, _)| !alternatives || !tried(s));
+        let zone = self.vms.get(owner);
         let costs = free.filter(|(_, state)| allows(state)).map(|(s, state)| {
             // VMs with the same reports must not all choose the same server.
-            let zone_cost = if self.crosses_zone(owner, s) { CROSS_ZONE_COST } else { 0.0 };
+            let zone_cost = if crosses_zone(zone, s) { CROSS_ZONE_COST } else { 0.0 };
             (s, needs.cost(state) + s.fixed_cost * MAX_FIXED_COST + zone_cost)
         });
         costs.min_by(|(_, a), (_, b)| a.total_cmp(b)).map(|(s, _)| s.info.id.clone())
     }
+}
 
-    /// Returns whether a server is known to be in another availability zone than an entry VM.
-    fn crosses_zone(&self, vm: &VmName, server: &Server) -> bool {
-        let zones = self.vms.get(vm).zip(server.zone.as_ref());
-        zones.is_some_and(|(of_vm, of_server)| of_vm != of_server)
-    }
+/// Returns whether a server is known to be in another availability zone than `zone`.
+fn crosses_zone(zone: Option<&ZoneName>, server: &Server) -> bool {
+    zone.zip(server.zone.as_ref()).is_some_and(|(zone, of_server)| zone != of_server)
 }
--- a/crates/broker/src/pool/peers.rs
+++ b/crates/broker/src/pool/peers.rs
@@ -73,12 +73,15 @@
 
     /// Returns the VMs with waiting tickets and the weight of these, this VM included; empty if no
     /// other VM has any.
-    pub(super) fn contenders(&self, own: &[(u32, f64); TIER_COUNT]) -> Vec<(&VmName, f64)> {
+    pub(super) fn contenders(
+        &self,
+        own: impl FnOnce() -> [(u32, f64); TIER_COUNT],
+    ) -> Vec<(&VmName, f64)> {
         let others = self.peers.iter().map(|(vm, p)| (vm, waiting_weight(&p.load.waiting)));
         let mut contenders: Vec<_> = others.filter(|(_, weight)| *weight > 0.0).collect();
         if let (Some(this), false) = (&self.vm, contenders.is_empty()) {
             // The other VMs compare with the weight in this VM's last report.
-            contenders.push((this, waiting_weight(own).max(self.reported_weight)));
+            contenders.push((this, waiting_weight(&own()).max(self.reported_weight)));
         }
         contenders
     }
