Let ticks and messages of an entry VM go out while commands queue up

The event loop executed commands until none was left before it ticked and sent anything.

Commands are now taken until the next tick is due.

There is no test without sockets for it: the loop runs on a thread with a real clock.

--- a/crates/relay/src/event_loop.rs
+++ b/crates/relay/src/event_loop.rs
@@ -18,6 +18,7 @@
 use poison::Known;
 use region::{Notice, ServiceUsage};
 use routing::Plan;
+use spread::Sharing;
 use tokio::sync::oneshot;
 
 use crate::{
@@ -234,6 +235,8 @@
     other_vms: Vec<VmName>,
     /// Index in `other_vms` of the first VM to get the next message about suspects.
     next_told: usize,
+    /// Number of VMs with which quotas are shared, and of all VMs, as last logged.
+    logged_sharing: (usize, usize),
     waiting: HashMap<RequestId, oneshot::Sender<Placement>>,
     out: Vec<Decision>,
     spending: Arc<ArcSwap<Spending>>,
@@ -258,6 +261,7 @@
         vm,
         other_vms: Vec::new(),
         next_told: 0,
+        logged_sharing: (0, 0),
         waiting: HashMap::new(),
         out: Vec::new(),
         spending: Arc::clone(&spending),
@@ -276,7 +280,10 @@
             match commands.recv_timeout(next_tick.saturating_duration_since(Instant::now())) {
                 Ok(command) => {
                     self.execute(command);
-                    while let Ok(command) = commands.try_recv() {
+                    // Ticks and messages to other VMs must not wait until no command is left.
+                    while Instant::now() < next_tick
+                        && let Ok(command) = commands.try_recv()
+                    {
                         self.execute(command);
                     }
                 }
@@ -313,6 +320,7 @@
             self.scheduler.take_part_notices().iter().for_each(log_part_notice);
             if now >= next_usage {
                 next_usage = now + USAGE_INTERVAL;
+                self.log_sharing();
                 for usage in self.scheduler.service_usage(clock::since_boot()) {
                     self.environment.record_usage(&usage);
                     if usage.is_home || usage.slots.running > 0 {
@@ -323,6 +331,14 @@
         }
     }
 
+    /// Logs with how many of the entry VMs this one shares quotas, if that has changed.
+    fn log_sharing(&mut self) {
+        let Sharing { vms, of, .. } = self.scheduler.sharing(clock::since_boot());
+        if std::mem::replace(&mut self.logged_sharing, (vms, of)) != (vms, of) {
+            spdlog::info!("entry VMs that share quotas changed", kv: { vms, of });
+        }
+    }
+
     /// Sends what is known of parts under which servers ended to the next of the other entry VMs.
     fn send_suspects(&mut self) {
         let suspects = self.scheduler.suspects(clock::since_boot());
--- a/crates/relay/src/scheduler.rs
+++ b/crates/relay/src/scheduler.rs
@@ -19,7 +19,7 @@
 use poison::{Admission, Detector, Suspect};
 use region::{Frame, Gossip, GrantDecision, LimitReport, Notice, Region, ServiceUsage};
 use routing::{Plan, Quota};
-use spread::{Digest, Setup, Spread};
+use spread::{Digest, Setup, Sharing, Spread};
 
 use crate::{quota::Quotas, retry_budget::RetryBudgets};
 
@@ -219,6 +219,12 @@
         self.quotas.spending(now, &self.spread, self.incarnation)
     }
 
+    /// Returns with how many entry VMs this one shares quotas.
+    #[must_use]
+    pub fn sharing(&self, now: Time) -> Sharing {
+        self.spread.sharing(now)
+    }
+
     /// Submits a request that needs a server. It is refused at once if one of its parts is blocked,
     /// or if the retry budget or the quota is exhausted.
     pub fn submit(
