Spare VMs that are not a home the work of one

Brokers without requests, tickets and reports of other VMs are ticked every 100 ms, and homes are selected when something on which the selection depends has changed: what VMs gossip, who is live, who is excluded.

Tests of region and relay pass unchanged: cuts, stalled homes, restarts, random walks.

--- a/crates/broker/src/broker.rs
+++ b/crates/broker/src/broker.rs
@@ -445,6 +445,13 @@
         self.queue.len() == 0 && self.pool.running_len() == 0 && self.pool.servers().count() == 0
     }
 
+    /// Returns whether there are no waiting tickets, no running requests and no load reports of other
+    /// VMs, so that little changes with time.
+    #[must_use]
+    pub fn is_quiet(&self) -> bool {
+        self.queue.len() == 0 && self.pool.running_len() == 0 && !self.pool.has_peers()
+    }
+
     /// Returns whether not even an idle server of ordinary speed would meet the ticket's deadline.
     /// Always false for an urgent ticket: it became short of time by waiting, so it may still take
     /// a lower tier's slot.
--- a/crates/broker/src/pool/peers.rs
+++ b/crates/broker/src/pool/peers.rs
@@ -45,6 +45,11 @@
         self.peers.insert(vm, PeerReport { received_at: now, load });
     }
 
+    /// Returns whether other VMs have reported their load.
+    pub(crate) fn has_peers(&self) -> bool {
+        !self.peers.is_empty()
+    }
+
     /// Drops the load that another VM reported.
     pub(crate) fn clear_vm_load(&mut self, vm: &VmName) {
         for server_load in self.peers.remove(vm).into_iter().flat_map(|p| p.load.servers) {
--- a/crates/region/src/region.rs
+++ b/crates/region/src/region.rs
@@ -23,7 +23,7 @@
 use crate::{
     channel::{Channel, Segment},
     message::{Frame, LimitReport, Message},
-    selection::HomeSelector,
+    selection::{HomeSelector, Inputs},
 };
 
 /// If more time than this passes between two ticks, this VM itself was stalled and may not have
@@ -33,6 +33,8 @@
 const WARM_UP: Span = Span::from_millis(60);
 /// Interval at which homes are selected; matches the interval at which VMs gossip their selections.
 const SELECT_INTERVAL: Span = Span::from_millis(50);
+/// Interval at which brokers are ticked that have no requests, as on all VMs but a service's home.
+const QUIET_INTERVAL: Span = Span::from_millis(100);
 
 /// The decision about a request that was submitted at this VM.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -140,6 +142,10 @@
     brokers: BTreeMap<ServiceName, Broker>,
     selector: HomeSelector,
     select_at: Time,
+    /// The inputs and the number of services for which homes were selected last.
+    selected: (Inputs, usize),
+    /// When brokers without requests are ticked again.
+    quiet_at: Time,
     last_tick: Time,
     /// Requests of this VM that wait or run.
     requests: HashMap<RequestId, OpenRequest>,
@@ -184,6 +190,8 @@
             session_count: 0,
             brokers: BTreeMap::new(),
             select_at: Time::default(),
+            selected: Default::default(),
+            quiet_at: Time::default(),
             last_tick: Time::default(),
             requests: HashMap::new(),
             limits: KnownLimits::default(),
@@ -337,7 +345,11 @@
         }
         self.report_known_limits(now);
         self.drop_silent_clients(now);
-        for broker in self.brokers.values_mut() {
+        let quiet_due = now >= self.quiet_at;
+        if quiet_due {
+            self.quiet_at = now + QUIET_INTERVAL;
+        }
+        for broker in self.brokers.values_mut().filter(|b| quiet_due || !b.is_quiet()) {
             broker.tick(now, &mut self.actions);
         }
         self.handle_actions(now);
--- a/crates/region/src/region/requests.rs
+++ b/crates/region/src/region/requests.rs
@@ -160,8 +160,11 @@
     /// Selects the home of each service and opens sessions with new homes. A session with a VM that
     /// is no longer a home ends once that VM has acknowledged all messages.
     pub(super) fn select_homes(&mut self, now: Time) {
+        let inputs = (self.selector.inputs(now), self.brokers.len());
+        let is_same = inputs == self.selected;
+        self.selected = inputs;
         let services: Vec<ServiceName> = self.brokers.keys().cloned().collect();
-        for service in services {
+        for service in services.into_iter().filter(|_| !is_same) {
             if let Some(before) = self.selector.select(now, &service) {
                 let home = self.selector.home(&service).clone();
                 self.move_requests(now, &service, &before, &home);
--- a/crates/region/src/selection.rs
+++ b/crates/region/src/selection.rs
@@ -18,6 +18,9 @@
 /// it.
 const EXCLUSION_TIME: Span = Span::from_secs(2);
 
+/// Odd factor of a multiplicative hash: 2^64 divided by the golden ratio.
+const HASH_FACTOR: u64 = 0x9e37_79b9_7f4a_7c15;
+
 /// Latest gossip of another VM.
 #[derive(Debug)]
 struct Peer {
@@ -36,16 +39,39 @@
     /// VMs that are not selected before the given time.
     excluded: BTreeMap<VmName, Time>,
     homes: BTreeMap<ServiceName, VmName>,
+    /// Number of changes of the other fields, other than by the passing of time.
+    changes: u64,
+}
+
+/// Everything on which the selection of homes depends. Equal ones lead to equal homes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Inputs {
+    changes: u64,
+    excluded: usize,
+    /// Hash of which of the known VMs are live.
+    live: u64,
 }
 
 impl HomeSelector {
     pub(crate) fn new(me: VmName) -> Self {
         let (peers, excluded, homes) = (BTreeMap::new(), BTreeMap::new(), BTreeMap::new());
-        Self { me, eligible: true, peer_timeout: PEER_TIMEOUT, peers, excluded, homes }
+        Self { me, eligible: true, peer_timeout: PEER_TIMEOUT, peers, excluded, homes, changes: 1 }
+    }
+
+    /// Returns the inputs of the selection at `now`. They are cheap to compare, unlike the selection
+    /// itself, which looks at the names of all VMs.
+    pub(crate) fn inputs(&self, now: Time) -> Inputs {
+        let is_live = |peer: &Peer| now < peer.received_at + self.peer_timeout;
+        let live = self.peers.values().fold(0_u64, |hash, peer| {
+            hash.rotate_left(1).wrapping_mul(HASH_FACTOR) ^ u64::from(is_live(peer))
+        });
+        let excluded = self.excluded.values().filter(|until| now < **until).count();
+        Inputs { changes: self.changes, excluded, live }
     }
 
     /// Sets whether this VM can be a home.
     pub(crate) fn set_eligible(&mut self, eligible: bool) {
+        self.changes += 1;
         self.eligible = eligible;
     }
 
@@ -72,12 +98,15 @@
         eligible: bool,
         homes: impl IntoIterator<Item = (ServiceName, VmName)>,
     ) {
-        let homes = homes.into_iter().collect();
-        self.peers.insert(vm, Peer { received_at: now, eligible, homes });
+        let peer = Peer { received_at: now, eligible, homes: homes.into_iter().collect() };
+        let is_same = |old: &Peer| old.eligible == eligible && old.homes == peer.homes;
+        self.changes += u64::from(!self.peers.get(&vm).is_some_and(is_same));
+        self.peers.insert(vm, peer);
     }
 
     /// Excludes a VM from selection for [`EXCLUSION_TIME`].
     pub(crate) fn exclude(&mut self, now: Time, vm: VmName) {
+        self.changes += 1;
         self.excluded.insert(vm, now + EXCLUSION_TIME);
     }
 
@@ -133,6 +162,7 @@
         let best = ranked.max_by(|((a, x), _), ((b, y), _)| a.cmp(b).then(x.total_cmp(y)));
         let best = best.map_or(&self.me, |(_, vm)| vm).clone();
         let previous = self.homes.insert(service.clone(), best.clone());
+        self.changes += u64::from(previous.as_ref() != Some(&best));
         match previous {
             Some(previous) if previous == best => None,
             Some(previous) => Some(previous),
