--- a/crates/region/tests/region/main.rs
+++ b/crates/region/tests/region/main.rs
@@ -301,3 +301,31 @@
         assert!(granted * 10 >= 8 * limit * 5 * SERVERS, "{limit} a second: {granted} in 5 s");
     }
 }
+
+#[test]
+fn requests_are_decided_while_20_of_117_vms_stop_in_turn() {
+    const VMS: usize = 117;
+    let mut sim = Sim::start(VMS, 13);
+    sim.advance(HOME_AGREED);
+    let mut stopped = Vec::new();
+    for n in 0..20 {
+        // Every fourth one is the home.
+        let home = sim.home(VMS - 1);
+        let stopping = if n % 4 == 0 { home } else { n };
+        sim.announce_stop(stopping);
+        for request in 0..16 {
+            let vm = (request * 7 + n) % VMS;
+            if !stopped.contains(&vm) {
+                sim.submit(vm, 1);
+            }
+            sim.submit(stopping, 0);
+            sim.advance(Span::from_millis(5));
+        }
+        sim.advance(Span::from_millis(150));
+        assert_eq!(sim.undecided(), 0, "before VM {stopping} ends");
+        sim.crash(stopping);
+        stopped.push(stopping);
+    }
+    sim.drain();
+    assert_eq!((sim.most_excess, sim.undecided()), (0, 0));
+}
