--- a/review/stand/cases.rs
+++ b/review/stand/cases.rs
@@ -1,5 +1,6 @@
 //! The cases that are scripts.
 
+mod releases;
 mod streams;
 
 use std::{path::Path, process::ExitCode};
@@ -28,6 +29,7 @@
     } else {
         match name {
             "gone" => streams::play(Scenario::Gone, &record, trouble),
+            "releases" => releases::play(&record, trouble),
             "reborn" => streams::play(Scenario::Reborn, &record, trouble),
             _ => Verdict::CannotRun(format!("no case {name}")),
         }
--- a/review/stand/main.rs
+++ b/review/stand/main.rs
@@ -7,6 +7,7 @@
 mod client;
 mod fleet;
 mod http;
+mod pool;
 mod proxy;
 mod record;
 mod server;
