--- a/review/stand/cases.rs
+++ b/review/stand/cases.rs
@@ -1,5 +1,6 @@
 //! The cases that are scripts.
 
+mod odd;
 mod releases;
 mod streams;
 
@@ -29,6 +30,7 @@
     } else {
         match name {
             "gone" => streams::play(Scenario::Gone, &record, trouble),
+            "odd" => odd::play(&record, trouble),
             "releases" => releases::play(&record, trouble),
             "reborn" => streams::play(Scenario::Reborn, &record, trouble),
             _ => Verdict::CannotRun(format!("no case {name}")),
--- a/review/stand/cases/releases.rs
+++ b/review/stand/cases/releases.rs
@@ -24,6 +24,8 @@
 /// Servers replaced at a time, and the time between, as `release` of the site file.
 const REPLACED: u32 = 7;
 const RELEASE_GAP: Duration = Duration::from_secs(1);
+/// Time for which a server serves after its departure was acknowledged: `drain-ms` and a little more.
+const DRAIN: Duration = Duration::from_millis(3_000);
 /// Time between two requests to each entry VM.
 const GAP: Duration = Duration::from_millis(40);
 /// Time for which servers are replaced.
@@ -133,7 +135,7 @@
     let start = |count: &mut u32| {
         *count += 1;
         let zone = ZONES[*count as usize % ZONES.len()];
-        PoolServer::start(*count, ("usher-llm", zone, &ip), &controls, record)
+        PoolServer::start((*count, DRAIN), ("usher-llm", zone, &ip), &controls, record)
     };
     let mut live: VecDeque<Arc<PoolServer>> = (0..SERVERS).map(|_| start(&mut count)).collect();
     if !fleet.wait_until_ready() {
--- a/review/stand/pool.rs
+++ b/review/stand/pool.rs
@@ -4,11 +4,11 @@
     io::{BufReader, Write},
     net::{SocketAddr, TcpListener, TcpStream},
     sync::{
-        Arc,
-        atomic::{AtomicBool, Ordering},
+        Arc, Mutex,
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     thread::{sleep, spawn},
-    time::{Duration, SystemTime, UNIX_EPOCH},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
 use crate::{
@@ -25,9 +25,6 @@
 const EVENT_INTERVAL: Duration = Duration::from_millis(20);
 /// Number of events of a stream.
 pub const EVENTS: usize = 4;
-/// Time for which a server serves after its departure was acknowledged: `drain-ms` and a little more.
-const DRAIN: Duration = Duration::from_millis(3_000);
-
 pub struct PoolServer {
     id: String,
     service: &'static str,
@@ -35,15 +32,23 @@
     address: SocketAddr,
     controls: Vec<SocketAddr>,
     born: u128,
+    sequence: AtomicU64,
+    /// Time for which it serves after its departure was acknowledged.
+    drain: Duration,
     leaving: AtomicBool,
     gone: AtomicBool,
+    /// When its departure was acknowledged.
+    acked: Mutex<Option<Instant>>,
+    /// When requests arrived, with their ids.
+    arrivals: Mutex<Vec<(Instant, String)>>,
     record: Record,
 }
 
 impl PoolServer {
-    /// Starts server `n` at a free port of `ip`.
+    /// Starts server `n` at a free port of `ip`. It serves for `drain` after its departure was
+    /// acknowledged.
     pub fn start(
-        n: u32,
+        (n, drain): (u32, Duration),
         (service, zone, ip): (&'static str, &'static str, &str),
         controls: &[SocketAddr],
         record: &Record,
@@ -56,6 +61,10 @@
             address: listener.local_addr().unwrap(),
             controls: controls.to_vec(),
             born: SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis(),
+            sequence: AtomicU64::new(0),
+            drain,
+            acked: Mutex::default(),
+            arrivals: Mutex::default(),
             leaving: AtomicBool::new(false),
             gone: AtomicBool::new(false),
             record: record.clone(),
@@ -82,26 +91,61 @@
         self.leaving.store(true, Ordering::Relaxed);
     }
 
+    /// Returns the number of requests that arrived.
+    pub fn arrivals(&self) -> usize {
+        self.arrivals.lock().unwrap().len()
+    }
+
+    /// Waits for the next request. Returns whether one came.
+    pub fn wait_for_arrival(&self, longest: Duration) -> bool {
+        let (before, until) = (self.arrivals(), Instant::now() + longest);
+        while self.arrivals() == before && Instant::now() < until {
+            sleep(Duration::from_millis(10));
+        }
+        self.arrivals() > before
+    }
+
+    /// Returns the requests that arrived later than `bound` after the departure was acknowledged.
+    pub fn late_arrivals(&self, bound: Duration) -> Vec<String> {
+        let acked = *self.acked.lock().unwrap();
+        let arrivals = self.arrivals.lock().unwrap();
+        let late = arrivals.iter().filter(|(at, _)| acked.is_some_and(|acked| *at > acked + bound));
+        late.map(|(_, id)| id.clone()).collect()
+    }
+
+    /// Sends a heartbeat as another writer does, who knows the server's id but names a service that
+    /// does not exist, and counts for itself.
+    pub fn odd_heartbeat(&self) -> bool {
+        let sequence = self.sequence.load(Ordering::Relaxed) + 1_000;
+        self.record.line(&format!("another writer sends a heartbeat of {}", self.id));
+        self.beat("no-such-service", "ready", sequence)
+    }
+
+    fn beat(&self, service: &str, state: &str, sequence: u64) -> bool {
+        let body = format!(
+            "{{\"service\":\"{service}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\
+             \"slots\":8,\"state\":\"{state}\",\"cold-remaining-ms\":0,\
+             \"sequence\":{sequence},\"born\":{}}}",
+            self.address, self.zone, self.born
+        );
+        self.call("PUT", &body)
+    }
+
     /// Sends heartbeats until the server has left.
     fn live(&self) {
-        let mut sequence = 0_u64;
         loop {
-            sequence += 1;
+            let sequence = self.sequence.fetch_add(1, Ordering::Relaxed) + 1;
             let leaving = self.leaving.load(Ordering::Relaxed);
             let state = if leaving { "draining" } else { "ready" };
-            let body = format!(
-                "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\
-                 \"slots\":8,\"state\":\"{state}\",\"cold-remaining-ms\":0,\
-                 \"sequence\":{sequence},\"born\":{}}}",
-                self.service, self.address, self.zone, self.born
-            );
-            let acked = self.call("PUT", &body);
+            let acked = self.beat(self.service, state, sequence);
             if leaving && acked {
                 break;
             }
             sleep(HEARTBEAT);
         }
-        sleep(DRAIN);
+        *self.acked.lock().unwrap() = Some(Instant::now());
+        self.record.line(&format!("server {}: draining is acknowledged", self.id));
+        sleep(self.drain);
         self.call("DELETE", &format!("{{\"born\":{}}}", self.born));
         self.record.line(&format!("server {} has left", self.id));
         self.gone.store(true, Ordering::Relaxed);
@@ -130,6 +174,7 @@
             read_request_body(&mut reader, &head)?;
             let id = head.get("x-request-id").unwrap_or_default();
             self.record.line(&format!("server {} runs {id}", self.id));
+            self.arrivals.lock().unwrap().push((Instant::now(), id.to_owned()));
             sleep(FIRST_EVENT);
             let leaving = self.leaving.load(Ordering::Relaxed);
             let notice = if leaving { "Server-Leaving: 1\r\nConnection: close\r\n" } else { "" };
