Create a database again whose creation was interrupted

Callers and operators saw: a control VM that was killed while it created its log ran on, but never opened the file, listened on no port and ignored SIGTERM.

Cause: redb creates a file in place and writes its magic number last. A file that has a length and no magic number is refused by every later open, and the control VM repeated that open without end. Ruled out: a damaged header and a disk that refuses access. The error was the same for both, so a file that is no database is now named with its first bytes.

A file without magic number was never opened and holds no identity, so it is safe to create it again. The same function opens the records of refused requests, which had the same fault. A file with other first bytes is left as it is.

--- /dev/null
+++ b/crates/store/src/database.rs
@@ -0,0 +1,58 @@
+//! Opening of database files.
+
+use std::{
+    fs::{File, OpenOptions},
+    io::{self, Read},
+    path::Path,
+};
+
+use error_stack::{Report, ResultExt};
+use redb::{Builder, Database, backends::FileBackend};
+
+use crate::error::{Error, ErrorKind};
+
+/// First bytes of a database file.
+const MAGIC: [u8; 9] = *b"redb\x1a\n\xa9\r\n";
+
+/// Opens a database, which is created if the file does not exist or if its creation was interrupted.
+///
+/// # Errors
+///
+/// If the file cannot be opened, is in use, or holds something other than a database.
+pub(crate) fn open(path: &Path) -> Result<Database, Report<Error>> {
+    let failed = || Error::from(ErrorKind::Open(path.display().to_string()));
+    let file = OpenOptions::new().read(true).write(true).create(true).truncate(false).open(path);
+    let file = file.change_context_lazy(failed)?;
+    // The lock is taken before the content is read, because another process may be writing it.
+    let locked = file.try_clone().change_context_lazy(failed)?;
+    let backend = FileBackend::new(locked).change_context_lazy(failed)?;
+    let start = read_start(&file).change_context_lazy(failed)?;
+    if is_unfinished(&start) {
+        let bytes = file.metadata().change_context_lazy(failed)?.len();
+        if bytes > 0 {
+            let path = path.display().to_string();
+            spdlog::warn!("creation of a database was interrupted; creating it again", kv: { path, bytes });
+            file.set_len(0).change_context_lazy(failed)?;
+        }
+    } else if start != MAGIC {
+        let path = path.display().to_string();
+        return Err(Error::from(ErrorKind::NotDatabase { path, start }).into());
+    }
+    Builder::new().create_with_backend(backend).change_context_lazy(failed)
+}
+
+/// Reads the first bytes of a file, as many as [`MAGIC`] has or fewer if the file is shorter.
+fn read_start(file: &File) -> io::Result<Vec<u8>> {
+    let mut start = Vec::new();
+    file.take(MAGIC.len() as u64).read_to_end(&mut start)?;
+    Ok(start)
+}
+
+/// Returns whether a file that starts with these bytes was never a whole database.
+///
+/// While a file is created, its magic number is written last, after everything else is synced. Until
+/// then the bytes in its place do not exist or are zero, or some of them are written if power is
+/// lost. Such a file has never been opened, so it holds no records.
+fn is_unfinished(start: &[u8]) -> bool {
+    start != MAGIC && start.iter().zip(MAGIC).all(|(&byte, magic)| byte == 0 || byte == magic)
+}
--- a/crates/store/src/error.rs
+++ b/crates/store/src/error.rs
@@ -2,8 +2,8 @@
 
 use std::fmt;
 
-/// A failed access to the data folder: a file that cannot be opened, read, or written and synced, a
-/// corrupt record, or a missing log entry.
+/// A failed access to the data folder: a file that cannot be opened, read, or written and synced,
+/// or is not a database, a corrupt record, or a missing log entry.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Error {
     kind: ErrorKind,
@@ -12,6 +12,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum ErrorKind {
     Open(String),
+    NotDatabase { path: String, start: Vec<u8> },
     Read(&'static str),
     Write(&'static str),
     WriteFile(String),
@@ -30,6 +31,9 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match &self.kind {
             ErrorKind::Open(path) => write!(f, "cannot open {path}"),
+            ErrorKind::NotDatabase { path, start } => {
+                write!(f, "{path} is not a database: it starts with the bytes {start:02x?}")
+            }
             ErrorKind::Read(what) => write!(f, "cannot read {what}"),
             ErrorKind::Write(what) => write!(f, "cannot write and sync {what}"),
             ErrorKind::WriteFile(path) => write!(f, "cannot write and sync {path}"),
--- a/crates/store/src/journal.rs
+++ b/crates/store/src/journal.rs
@@ -10,6 +10,7 @@
 use redb::{Database, ReadableDatabase, TableDefinition};
 
 use crate::{
+    database,
     error::{Error, ErrorKind},
     record::{decode, encode},
 };
@@ -46,7 +47,7 @@
         let path = folder.join(FILE_NAME);
         let failed = || Error::from(ErrorKind::Open(path.display().to_string()));
         fs::create_dir_all(folder).change_context_lazy(failed)?;
-        let db = Database::create(&path).change_context_lazy(failed)?;
+        let db = database::open(&path)?;
         let mut journal = Self { db, disk_id: 0 };
         journal.create_tables()?;
         journal.disk_id = match journal.read_meta(DISK_KEY, "disk identity")? {
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -25,6 +25,7 @@
 //! # Ok::<(), error_stack::Report<store::Error>>(())
 //! ```
 
+mod database;
 mod error;
 mod file;
 mod journal;
--- a/crates/store/src/refusals.rs
+++ b/crates/store/src/refusals.rs
@@ -15,6 +15,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    database,
     error::{Error, ErrorKind},
     record::{decode, encode},
 };
@@ -66,7 +67,7 @@
         let path = folder.join(FILE_NAME);
         let failed = || Error::from(ErrorKind::Open(path.display().to_string()));
         fs::create_dir_all(folder).change_context_lazy(failed)?;
-        let db = Database::create(&path).change_context_lazy(failed)?;
+        let db = database::open(&path)?;
         let txn = db.begin_write().change_context_lazy(failed)?;
         txn.open_table(RECORDS).change_context_lazy(failed)?;
         txn.open_table(BY_TIME).change_context_lazy(failed)?;
