Sync the new length of a database file before anything else is written

Cause: redb sets a new length, writes pages and a header that names the length, and syncs them together. Without that sync the header, or a piece of a page beyond the old end, may reach the disk while the length does not; redb then panics on the file. A storage that syncs growth at once rules this order out. Repairing the length on opening was ruled out, since it needs the private layout of the header.

--- a/crates/store/src/database.rs
+++ b/crates/store/src/database.rs
@@ -7,7 +7,7 @@
 };
 
 use error_stack::{Report, ResultExt};
-use redb::{Builder, Database, backends::FileBackend};
+use redb::{Builder, Database, DatabaseError, StorageBackend, backends::FileBackend};
 
 use crate::error::{Error, ErrorKind};
 
@@ -38,7 +38,47 @@
         let path = path.display().to_string();
         return Err(Error::from(ErrorKind::NotDatabase { path, start }).into());
     }
-    Builder::new().create_with_backend(backend).change_context_lazy(failed)
+    with_backend(backend).change_context_lazy(failed)
+}
+
+/// Opens or creates a database in a storage.
+pub(crate) fn with_backend(backend: impl StorageBackend) -> Result<Database, DatabaseError> {
+    Builder::new().create_with_backend(SyncedGrowth(backend))
+}
+
+/// A storage whose growth is synced before anything else is written.
+///
+/// The header of a database names its length. If power is lost when the header has reached the disk
+/// and the new length has not, the database cannot be opened any more.
+#[derive(Debug)]
+struct SyncedGrowth<B>(B);
+
+impl<B: StorageBackend> StorageBackend for SyncedGrowth<B> {
+    fn len(&self) -> io::Result<u64> {
+        self.0.len()
+    }
+
+    fn read(&self, offset: u64, out: &mut [u8]) -> io::Result<()> {
+        self.0.read(offset, out)
+    }
+
+    fn set_len(&self, len: u64) -> io::Result<()> {
+        let grows = len > self.0.len()?;
+        self.0.set_len(len)?;
+        if grows { self.0.sync_data() } else { Ok(()) }
+    }
+
+    fn sync_data(&self) -> io::Result<()> {
+        self.0.sync_data()
+    }
+
+    fn write(&self, offset: u64, data: &[u8]) -> io::Result<()> {
+        self.0.write(offset, data)
+    }
+
+    fn close(&self) -> io::Result<()> {
+        self.0.close()
+    }
 }
 
 /// Reads the first bytes of a file, as many as [`MAGIC`] has or fewer if the file is shorter.
--- a/crates/store/src/journal.rs
+++ b/crates/store/src/journal.rs
@@ -7,7 +7,7 @@
 
 use error_stack::{Report, ResultExt};
 use raft::{HardState, LogEntry, Snapshot, StoredState, WriteBatch};
-use redb::{Database, ReadableDatabase, TableDefinition};
+use redb::{Database, ReadableDatabase, StorageBackend, TableDefinition};
 
 use crate::{
     database,
@@ -47,15 +47,43 @@
         let path = folder.join(FILE_NAME);
         let failed = || Error::from(ErrorKind::Open(path.display().to_string()));
         fs::create_dir_all(folder).change_context_lazy(failed)?;
-        let db = database::open(&path)?;
+        let journal = Self::new(database::open(&path)?, new_id)?;
+        // Syncs the folder, because its directory entry for the file must survive a crash too.
+        fs::File::open(folder).and_then(|f| f.sync_all()).change_context_lazy(failed)?;
+        Ok(journal)
+    }
+
+    /// Opens the log in another storage than a file, such as memory.
+    ///
+    /// # Errors
+    ///
+    /// If the storage holds something else, or cannot be read or written.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use redb::backends::InMemoryBackend;
+    /// use store::Journal;
+    ///
+    /// let journal = Journal::with_backend(InMemoryBackend::new(), || 7)?;
+    /// assert_eq!(journal.disk_id(), 7);
+    /// # Ok::<(), error_stack::Report<store::Error>>(())
+    /// ```
+    pub fn with_backend(
+        backend: impl StorageBackend,
+        new_id: impl FnOnce() -> u64,
+    ) -> Result<Self> {
+        let failed = || Error::from(ErrorKind::Open("the storage of the log".into()));
+        Self::new(database::with_backend(backend).change_context_lazy(failed)?, new_id)
+    }
+
+    fn new(db: Database, new_id: impl FnOnce() -> u64) -> Result<Self> {
         let mut journal = Self { db, disk_id: 0 };
         journal.create_tables()?;
         journal.disk_id = match journal.read_meta(DISK_KEY, "disk identity")? {
             Some(disk_id) => disk_id,
             None => journal.write_disk_id(new_id())?,
         };
-        // Syncs the folder, because its directory entry for the file must survive a crash too.
-        fs::File::open(folder).and_then(|f| f.sync_all()).change_context_lazy(failed)?;
         Ok(journal)
     }
 
