Refuse responses of backend servers without a valid status code

Callers saw the status that a server in trouble sent: 101 was passed on with a connection that went on without an answer, and 600 to 999 pass the same code. A status of 000 was refused before, by the HTTP library.

Cause: the client relied on the library, which refuses codes below 100 only. An exchange now fails if its status is not from 200 to 599, for health calls too.

Before: an_answer_without_a_valid_status_code_is_none fails with (101, 1) instead of (502, 1). After: it passes.

--- a/crates/backend/src/client.rs
+++ b/crates/backend/src/client.rs
@@ -249,7 +249,7 @@
     }
 
     /// Sends a health call on a connection. Returns the response, whose body is not read yet, or `None`
-    /// if there is none in time.
+    /// if there is no valid one in time.
     pub(crate) async fn probe(
         &self,
         mut connection: Connection,
@@ -266,7 +266,7 @@
         let response = timeout(PROBE_TIMEOUT, response).await.ok()??;
         connection.allowance.end();
         connection.is_used = true;
-        Some(Exchange::new(response, connection, address, self))
+        Exchange::new(response, connection, address, self).ok()
     }
 
     /// Opens a connection and spawns the task that drives it.
@@ -318,7 +318,8 @@
             Ok(Ok(response)) => response,
         };
         connection.allowance.end();
-        let exchange = Exchange::new(response, connection, address, self).check_id(id);
+        let exchange = Exchange::new(response, connection, address, self);
+        let exchange = exchange.and_then(|exchange| exchange.check_id(id));
         Ok(exchange.map(|exchange| exchange.watch(sent)))
     }
 }
--- a/crates/backend/src/exchange.rs
+++ b/crates/backend/src/exchange.rs
@@ -6,6 +6,7 @@
 use std::{
     fmt,
     net::SocketAddr,
+    ops::RangeInclusive,
     time::{Duration, Instant},
 };
 
@@ -29,6 +30,8 @@
 /// reused. Later, the server could close the connection while a request is on its way.
 const KEEP_ALIVE_FRACTION: f64 = 0.7;
 
+/// Status codes of final responses.
+const FINAL_STATUS: RangeInclusive<u16> = 200..=599;
 /// Maximum size of a reply to a health call, in bytes.
 const MAX_HEALTH_BODY: usize = 64 << 10;
 /// Time in which the connections of a process that ended are seen to close, one after the other.
@@ -89,13 +92,21 @@
 }
 
 impl Exchange {
+    /// Creates the exchange of a response whose head has arrived.
+    ///
+    /// Fails with [`Failure::Broken`] if the status code is not one of a final response. That of a
+    /// switch to another protocol is not either, because no request asks for one.
     pub(crate) fn new(
         response: Response<Incoming>,
         connection: Connection,
         address: SocketAddr,
         client: &Client,
-    ) -> Self {
+    ) -> Result<Self, Failure> {
         let (parts, body) = response.into_parts();
+        if !FINAL_STATUS.contains(&parts.status.as_u16()) {
+            let why = format!("{} is not the status code of a response", parts.status.as_u16());
+            return Err(Failure::Broken { why });
+        }
         let has_length = parts.headers.contains_key(CONTENT_LENGTH);
         let has_encoding = parts.headers.contains_key(TRANSFER_ENCODING);
         let framing = if is_chunked(&parts.headers) {
@@ -105,7 +116,7 @@
         } else {
             Framing::Connection
         };
-        Self {
+        Ok(Self {
             framing,
             status: parts.status,
             headers: parts.headers,
@@ -117,7 +128,7 @@
             is_attributed: false,
             witness: None,
             ended: None,
-        }
+        })
     }
 
     /// Prepares the proof of the end of a response that ends with its connection. `sent` is the time
