--- a/crates/store/src/error.rs
+++ b/crates/store/src/error.rs
@@ -12,7 +12,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum ErrorKind {
     Open(String),
-    NotDatabase { path: String, start: Vec<u8> },
+    NotDatabase { name: String, start: Vec<u8> },
     Read(&'static str),
     Write(&'static str),
     WriteFile(String),
@@ -31,8 +31,8 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match &self.kind {
             ErrorKind::Open(path) => write!(f, "cannot open {path}"),
-            ErrorKind::NotDatabase { path, start } => {
-                write!(f, "{path} is not a database: it starts with the bytes {start:02x?}")
+            ErrorKind::NotDatabase { name, start } => {
+                write!(f, "{name} is not a database: it starts with the bytes {start:02x?}")
             }
             ErrorKind::Read(what) => write!(f, "cannot read {what}"),
             ErrorKind::Write(what) => write!(f, "cannot write and sync {what}"),
--- a/crates/store/src/journal.rs
+++ b/crates/store/src/journal.rs
@@ -73,8 +73,7 @@
         backend: impl StorageBackend,
         new_id: impl FnOnce() -> u64,
     ) -> Result<Self> {
-        let failed = || Error::from(ErrorKind::Open("the storage of the log".into()));
-        Self::new(database::with_backend(backend).change_context_lazy(failed)?, new_id)
+        Self::new(database::with_backend(backend, "the storage of the log")?, new_id)
     }
 
     fn new(db: Database, new_id: impl FnOnce() -> u64) -> Result<Self> {
