--- a/crates/keeper/tests/control/main.rs
+++ b/crates/keeper/tests/control/main.rs
@@ -1,5 +1,6 @@
 //! Tests of control VMs in a deterministic simulation.
 
+mod full;
 mod membership;
 mod plans;
 mod registry;
--- a/crates/keeper/tests/control/sim.rs
+++ b/crates/keeper/tests/control/sim.rs
@@ -49,6 +49,8 @@
     losses: usize,
     /// Messages in flight: time of arrival, sender, receiver and content.
     messages: VecDeque<(u64, VmName, VmName, Message)>,
+    /// VMs whose disks are full, with the writes that wait for room.
+    full: BTreeMap<VmName, Vec<(u64, u64, WriteBatch)>>,
     /// VMs that can exchange messages only with each other.
     isolated: BTreeSet<VmName>,
     pub(crate) answers: BTreeMap<u64, Answer>,
@@ -72,6 +74,7 @@
             seeds: seeds.iter().map(|n| vm(*n)).collect(),
             losses,
             messages: VecDeque::new(),
+            full: BTreeMap::new(),
             isolated: BTreeSet::new(),
             answers: BTreeMap::new(),
             random: seed | 1,
@@ -122,8 +125,25 @@
         self.disks[&vm(n)].stored.as_ref()
     }
 
+    /// Fills the disk of a VM, so that its writes wait.
+    pub(crate) fn fill(&mut self, n: u64) {
+        self.full.entry(vm(n)).or_default();
+    }
+
+    /// Makes room on the disk of a VM, which takes the writes that wait.
+    pub(crate) fn make_room(&mut self, n: u64) {
+        for (id, cluster, persist) in self.full.remove(&vm(n)).unwrap_or_default() {
+            self.disks.get_mut(&vm(n)).unwrap().write(cluster, persist);
+            self.input(&vm(n), Input::Persisted { id });
+        }
+    }
+
     /// Ends the process of a VM; its disk survives.
     pub(crate) fn kill(&mut self, n: u64) {
+        // Writes that wait for room are lost with the process.
+        if let Some(waiting) = self.full.get_mut(&vm(n)) {
+            waiting.clear();
+        }
         self.vms.remove(&vm(n));
     }
 
@@ -179,6 +199,9 @@
         let mut queue: VecDeque<Output> = out.into();
         while let Some(output) = queue.pop_front() {
             match output {
+                Output::Persist { id, cluster, persist } if self.full.contains_key(to) => {
+                    self.full.get_mut(to).unwrap().push((id, cluster, persist));
+                }
                 Output::Persist { id, cluster, persist } => {
                     self.disks.get_mut(to).unwrap().write(cluster, persist);
                     let mut out = Vec::new();
