End a control VM by a signal while it cannot open its log

Cause: the retries slept on the only thread of the runtime, and signals were awaited only after the start. The log is now opened on a thread of its own, which gives up when nobody waits for it, and a signal ends the start of either role.

--- a/crates/fuchsiausher/src/role.rs
+++ b/crates/fuchsiausher/src/role.rs
@@ -34,7 +34,7 @@
     logs::start().change_context(Error::from(ErrorKind::Logs))?;
     // The handlers are installed before the VM starts. A signal that arrives during the start would
     // otherwise end the process without a planned stop.
-    let signals = Signals::new();
+    let mut signals = Signals::new();
     let role = format!("{:?}", settings.role);
     spdlog::info!(
         "started",
@@ -48,7 +48,13 @@
     );
     let meters = Meters::new(&settings.name).change_context(Error::from(ErrorKind::Metrics))?;
     let meters = Arc::new(meters);
-    let running = start(&settings, &meters).await?;
+    let running = tokio::select! {
+        running = start(&settings, &meters) => running?,
+        () = signals.stop() => {
+            spdlog::info!("stopping before the start is complete", kv: { name = settings.name.as_str() });
+            return Ok(true);
+        }
+    };
     if let Some(address) = settings.metrics {
         serve_metrics(address, meters).await;
     }
@@ -176,6 +182,14 @@
             hangup: install_handler(SignalKind::hangup()),
         }
     }
+
+    /// Waits for a signal that ends the VM.
+    async fn stop(&mut self) {
+        tokio::select! {
+            () = signal_received(&mut self.terminate) => {}
+            () = signal_received(&mut self.interrupt) => {}
+        }
+    }
 }
 
 /// Applies changes of the settings file, until SIGTERM or SIGINT.
--- a/crates/host/src/disk.rs
+++ b/crates/host/src/disk.rs
@@ -3,6 +3,7 @@
 //! Opening and writing are retried until they succeed, so the process does not end meanwhile.
 
 use std::{
+    io,
     path::{Path, PathBuf},
     thread,
     time::Duration,
@@ -12,19 +13,40 @@
 use error_stack::Report;
 use raft::WriteBatch;
 use store::Journal;
+use tokio::sync::oneshot;
 
 /// Delay before an open or a write that failed is retried.
 const RETRY_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Opens the log, and retries until that succeeds.
-pub(crate) fn open(folder: &Path) -> Journal {
-    loop {
+/// Opens the log on a thread of its own, and retries until that succeeds or the returned receiver is
+/// dropped.
+///
+/// # Errors
+///
+/// Returns the error of the operating system if the thread cannot be created.
+pub(crate) fn open_in_background(folder: &Path) -> io::Result<oneshot::Receiver<Journal>> {
+    let (sender, receiver) = oneshot::channel();
+    let folder = folder.to_owned();
+    let run = move || {
+        if let Some(journal) = open_while(&folder, || !sender.is_closed()) {
+            // The send fails if the VM stops meanwhile.
+            let _ = sender.send(journal);
+        }
+    };
+    thread::Builder::new().name("open".into()).spawn(run)?;
+    Ok(receiver)
+}
+
+/// Opens the log, and retries until that succeeds or it is no longer wanted.
+fn open_while(folder: &Path, is_wanted: impl Fn() -> bool) -> Option<Journal> {
+    while is_wanted() {
         match Journal::open(folder, rand::random) {
-            Ok(journal) => return journal,
+            Ok(journal) => return Some(journal),
             Err(error) => log_failure(folder, "opened", &error),
         }
         thread::sleep(RETRY_INTERVAL);
     }
+    None
 }
 
 fn log_failure(folder: &Path, what: &str, error: &Report<store::Error>) {
@@ -54,7 +76,8 @@
 
     fn write(&mut self, cluster: u64, batches: &[WriteBatch]) -> Result<(), Self::Error> {
         loop {
-            let mut journal = self.journal.take().unwrap_or_else(|| open(&self.folder));
+            let journal = self.journal.take().or_else(|| open_while(&self.folder, || true));
+            let Some(mut journal) = journal else { continue };
             match journal.write(cluster, batches) {
                 Ok(()) => {
                     self.journal = Some(journal);
--- a/crates/host/src/node.rs
+++ b/crates/host/src/node.rs
@@ -99,7 +99,8 @@
 impl Host {
     /// Starts a control VM. It must be called within a tokio runtime.
     ///
-    /// If the disk cannot be opened, this waits and retries until it can.
+    /// If the disk cannot be opened, this waits and retries until it can, or until the returned future
+    /// is dropped.
     ///
     /// # Errors
     ///
@@ -115,9 +116,12 @@
             .change_context_lazy(|| Error::from(ErrorKind::Peers))?;
         let links = Links::new(config.vm.clone(), incarnation, key.clone(), &[], meters.clone())
             .change_context_lazy(|| Error::from(ErrorKind::Peers))?;
-        let journal = disk::open(&config.data_dir);
+        let spawn_error = || Error::from(ErrorKind::Spawn);
+        let journal = disk::open_in_background(&config.data_dir);
         let data_error =
             || Error::from(ErrorKind::DataFolder(config.data_dir.display().to_string()));
+        let journal =
+            journal.change_context_lazy(spawn_error)?.await.change_context_lazy(data_error)?;
         let setup = Setup {
             vm: config.vm.clone(),
             zone: config.zone.clone(),
@@ -134,11 +138,10 @@
             takes_orders: config.takes_orders,
         };
         let disk = JournalDisk::new(config.data_dir.clone(), journal);
-        let kept = suspects::start_writer(&config.data_dir)
-            .change_context_lazy(|| Error::from(ErrorKind::Spawn))?;
+        let kept = suspects::start_writer(&config.data_dir).change_context_lazy(spawn_error)?;
         let handle =
             thread::start(&setup, links, config.peer_address.port(), (disk, kept), meters.clone())
-                .change_context_lazy(|| Error::from(ErrorKind::Spawn))?;
+                .change_context_lazy(spawn_error)?;
         peer::serve(
             config.peer_address,
             config.vm.clone(),
