End a control VM whose disk thread or control thread panics

Found while looking for the reported cause of changes that stay unanswered after full disks. A panic on either thread ended the thread only: the process went on, sent heartbeats and counted as a voter, but confirmed no write again, so that callers saw changes refused or not answered while all processes ran. The storage library panics on files that it takes for impossible; a full disk by itself led to no panic.

Such a thread is now started by driver::spawn_critical, which reports the panic, and the process ends with code 70 and is started again. The disk thread of single-role nodes reports it as a failed write.

--- a/crates/driver/src/disk.rs
+++ b/crates/driver/src/disk.rs
@@ -4,7 +4,11 @@
 //! sync are written together in the next transaction (group commit), and the control thread is
 //! notified once they are synced.
 
-use std::{sync::mpsc, thread};
+use std::{
+    panic::{self, AssertUnwindSafe},
+    sync::{Arc, mpsc},
+    thread,
+};
 
 use raft::WriteBatch;
 
@@ -48,10 +52,41 @@
     pub batch: WriteBatch,
 }
 
+/// Starts a thread on which the process depends.
+///
+/// If the thread panics, `failed` is called on it with a text that names it. The process must then
+/// end, because it would go on without doing the work of the thread.
+///
+/// # Errors
+///
+/// If the thread cannot be started.
+///
+/// # Examples
+///
+/// ```
+/// let (sender, receiver) = std::sync::mpsc::channel();
+/// driver::spawn_critical("disk", || panic!("no disk"), move |why| sender.send(why).unwrap())?;
+/// assert_eq!(receiver.recv().unwrap(), "the disk thread panicked");
+/// # Ok::<(), std::io::Error>(())
+/// ```
+pub fn spawn_critical(
+    name: &'static str,
+    run: impl FnOnce() + Send + 'static,
+    failed: impl FnOnce(String) + Send + 'static,
+) -> std::io::Result<()> {
+    let run = move || {
+        if panic::catch_unwind(AssertUnwindSafe(run)).is_err() {
+            failed(format!("the {name} thread panicked"));
+        }
+    };
+    thread::Builder::new().name(name.into()).spawn(run)?;
+    Ok(())
+}
+
 /// Starts the disk thread and returns the channel to its queue.
 ///
 /// `done` is called after each sync with the number of the last batch that it included. If a write
-/// fails, `failed` is called with the error and the thread ends.
+/// fails or panics, `failed` is called with the cause and the thread ends.
 ///
 /// # Errors
 ///
@@ -59,9 +94,11 @@
 pub fn spawn_disk_writer<D: Disk + 'static>(
     mut disk: D,
     done: impl Fn(u64) + Send + 'static,
-    failed: impl Fn(String) + Send + 'static,
+    failed: impl Fn(String) + Send + Sync + 'static,
 ) -> std::io::Result<mpsc::Sender<LogWrite>> {
     let (writes, inbox) = mpsc::channel::<LogWrite>();
+    let failed = Arc::new(failed);
+    let panicked = Arc::clone(&failed);
     let run = move || {
         while let Ok(first) = inbox.recv() {
             // Batches that were queued during the last sync share the next one.
@@ -83,6 +120,6 @@
             }
         }
     };
-    thread::Builder::new().name("disk".into()).spawn(run)?;
+    spawn_critical("disk", run, move |why| panicked(why))?;
     Ok(writes)
 }
--- a/crates/driver/src/lib.rs
+++ b/crates/driver/src/lib.rs
@@ -10,7 +10,7 @@
 mod thread;
 
 pub use crate::{
-    disk::{Disk, LogWrite, NoDisk, spawn_disk_writer},
+    disk::{Disk, LogWrite, NoDisk, spawn_critical, spawn_disk_writer},
     handle::{Event, Handle, Submission},
     thread::{Outbox, start},
 };
--- a/crates/driver/src/thread.rs
+++ b/crates/driver/src/thread.rs
@@ -63,7 +63,7 @@
     outbox: O,
     disk: D,
     meters: Arc<Meters>,
-    failed: impl Fn(String) + Send + 'static,
+    failed: impl Fn(String) + Send + Sync + 'static,
 ) -> io::Result<(Handle, UnboundedReceiver<Order>)> {
     let (work, inbox) = mpsc::channel();
     let published = Arc::new(ArcSwap::from_pointee(PublishedState {
--- a/crates/host/src/thread.rs
+++ b/crates/host/src/thread.rs
@@ -8,11 +8,10 @@
     collections::HashMap,
     io,
     sync::{Arc, mpsc},
-    thread,
     time::{Duration, Instant},
 };
 
-use driver::{LogWrite, spawn_disk_writer};
+use driver::{LogWrite, spawn_critical, spawn_disk_writer};
 use keeper::{Answer, Call, Change, Input, Keeper, Message, Output, Setup};
 use meters::{Meters, Operation};
 use model::VmName;
@@ -27,6 +26,8 @@
 
 /// Interval between ticks of the control state.
 const TICK: Duration = Duration::from_millis(20);
+/// Exit code of a process one of whose threads panicked.
+const EXIT_THREAD: i32 = 70;
 
 enum Work {
     Input(Input),
@@ -97,7 +98,7 @@
         links,
         runtime: tokio::runtime::Handle::current(),
         port,
-        writes: spawn_disk_writer(disk, synced, |e| spdlog::critical!("disk thread ended: {e}"))?,
+        writes: spawn_disk_writer(disk, synced, |why| end_process(&why))?,
         kept,
         waiting: HashMap::new(),
         next_call: 1,
@@ -105,10 +106,16 @@
         meters,
         out: Vec::new(),
     };
-    thread::Builder::new().name("control".into()).spawn(move || control.run(&inbox))?;
+    spawn_critical("control", move || control.run(&inbox), |why| end_process(&why))?;
     Ok(Handle { work })
 }
 
+/// Ends the process, because it would hold its place among the control VMs without doing their work.
+fn end_process(why: &str) {
+    spdlog::critical!("ending the process: {why}");
+    std::process::exit(EXIT_THREAD);
+}
+
 fn log_patch(patch: &edition::Patch, time: Duration) {
     spdlog::info!(
         "patch of the plan is made",
