Tell responses to requests and replies to health calls apart

Cause: a connection on which a health call was made returned to the pool without a sign that the server echoes ids, because health calls have none. A second copy of the health reply was then taken for the response to the next request. In the other direction, the late response to a request counted as the reply to a health call.

Such a connection now returns to the pool only if the response that the call confirms echoed its id, and from then on accepts only responses that do. A reply that echoes an id on a used connection is no health reply.

Before: a_second_reply_to_a_health_call_is_not_the_response_to_a_request fails (empty body for "ab"), a_response_with_the_id_of_a_request_is_no_reply_to_a_health_call fails (a proof is returned). After: both pass.

--- a/crates/backend/src/client.rs
+++ b/crates/backend/src/client.rs
@@ -249,7 +249,8 @@
     }
 
     /// Sends a health call on a connection. Returns the response, whose body is not read yet, or `None`
-    /// if there is no valid one in time.
+    /// if there is no valid one in time. A response that echoes an id on a connection that was used is
+    /// that to an earlier request.
     pub(crate) async fn probe(
         &self,
         mut connection: Connection,
@@ -264,6 +265,9 @@
             connection.sender.try_send_request(request).await.ok()
         };
         let response = timeout(PROBE_TIMEOUT, response).await.ok()??;
+        if connection.is_used && response.headers().contains_key(REQUEST_ID) {
+            return None;
+        }
         connection.allowance.end();
         connection.is_used = true;
         Exchange::new(response, connection, address, self).ok()
--- a/crates/backend/src/exchange.rs
+++ b/crates/backend/src/exchange.rs
@@ -74,6 +74,8 @@
     /// Number of body bytes received so far.
     received: u64,
     is_attributed: bool,
+    /// Whether it echoes the id of its request.
+    has_echo: bool,
     /// Connections that may prove the end of a response that ends with its connection.
     witness: Option<Witness>,
     /// When the end of the body arrived.
@@ -126,6 +128,7 @@
             client: client.clone(),
             received: 0,
             is_attributed: false,
+            has_echo: false,
             witness: None,
             ended: None,
         })
@@ -145,10 +148,11 @@
     pub(crate) fn check_id(mut self, id: &str) -> Result<Self, Failure> {
         let echo = self.headers.get(REQUEST_ID).map(|echo| echo.as_bytes() == id.as_bytes());
         let Some(connection) = &mut self.connection else { return Ok(self) };
-        self.is_attributed = echo == Some(true) || !connection.is_used;
+        self.has_echo = echo == Some(true);
+        self.is_attributed = self.has_echo || !connection.is_used;
         if echo.unwrap_or(!connection.has_echoes) {
             connection.is_used = true;
-            connection.has_echoes |= echo == Some(true);
+            connection.has_echoes |= self.has_echo;
             Ok(self)
         } else {
             Err(Failure::IdMismatch)
@@ -247,8 +251,15 @@
                 continue;
             };
             let proof = Proof { opened, status: reply.status, headers: reply.headers.clone() };
-            // The connection becomes available to requests once the reply was read.
-            tokio::spawn(async move { reply.read(MAX_HEALTH_BODY).await });
+            // Health calls have no id, so a late copy of the reply could be taken for the response to
+            // a request. The connection becomes available to requests, once the reply was read, only
+            // if responses to them are recognized by their ids.
+            if self.has_echo {
+                if let Some(connection) = &mut reply.connection {
+                    connection.has_echoes = true;
+                }
+                tokio::spawn(async move { reply.read(MAX_HEALTH_BODY).await });
+            }
             return Ok(Some(proof));
         }
         let why = "the server does not reply after its response".into();
