Believe a departure only if it was reported after the end of a response

Cause: a response that ends with its connection counted as whole if its server had reported its departure at any time. A report that the entry VM knows before the end arrives proves nothing now; one after the end still does.

--- a/crates/relay/src/forward/end.rs
+++ b/crates/relay/src/forward/end.rs
@@ -48,6 +48,9 @@
 
     /// Checks that a response that ends with its connection is complete: its sender is alive after the
     /// end, or has left in an orderly way. It takes at most until `deadline`.
+    ///
+    /// Called when the end has arrived. A sender that had reported its departure before went on
+    /// serving after the report, which then says nothing about the end.
     pub(crate) async fn confirm_end(
         &mut self,
         frontend: &Frontend,
@@ -56,13 +59,14 @@
         if !self.exchange.ends_with_connection() {
             return Ok(());
         }
+        let had_departed = frontend.restraints().has_departed(&self.sender);
         let timeout = tokio::time::timeout_at(deadline.into(), self.prove_alive(frontend)).await;
         let why = match timeout {
             Ok(Ok(())) => return Ok(()),
             Ok(Err(why)) => why,
             Err(_) => "no reply in time after the response".into(),
         };
-        if self.has_departed(frontend, deadline).await {
+        if !had_departed && self.has_departed(frontend, deadline).await {
             return Ok(());
         }
         Err(Failure::Broken { why })
