Go on reading a stream while held events are sent

Cause: when held events became due, the loop dropped its read of the next part. At the end of such a stream the read is the health call that proves the end, which had taken its connection, so that the next read found none and the server counted as gone. The read is pinned now and goes on while events are sent.

--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -5,6 +5,7 @@
 
 use std::{
     fmt, io,
+    pin::pin,
     time::{Duration, Instant},
 };
 
@@ -161,6 +162,35 @@
         }
     }
 
+    /// Reads the next part, and delivers held events when they are due. Returns the part and whether
+    /// these events were delivered, or `None` if the caller has disconnected.
+    ///
+    /// The read goes on while events are delivered. It must not be started anew, because it may have
+    /// taken bytes, or the connection that proves the end of the response.
+    async fn next_while_held(
+        &mut self,
+        frontend: &Frontend,
+        (deadline, max_gap): (Instant, Duration),
+        coalescer: &mut Coalescer,
+        caller: &mpsc::Sender<io::Result<Bytes>>,
+    ) -> Option<(StreamPart, bool)> {
+        let mut next = pin!(self.next(frontend, deadline, max_gap));
+        loop {
+            tokio::select! {
+                biased;
+                () = caller.closed() => return None,
+                () = sleep_until_due(coalescer.due()) => {
+                    if let Some(events) = coalescer.take()
+                        && !deliver(frontend, caller, events).await
+                    {
+                        return Some((StreamPart::NoMemory, false));
+                    }
+                }
+                part = &mut next => return Some((part, true)),
+            }
+        }
+    }
+
     /// Counts the buffer of an event that is not whole yet, before the next bytes are added to it.
     /// Returns false if there is no memory.
     async fn count_pending(&mut self, bytes: usize) -> bool {
@@ -298,41 +328,38 @@
         let mut coalescer = Coalescer::new(window);
         loop {
             let has_started = stream.first.is_some();
-            let part = tokio::select! {
-                biased;
-                () = caller.closed() => {
-                    self.log_caller_left(stream.events.count());
-                    return;
-                }
-                () = sleep_until_due(coalescer.due()) => None,
-                part = stream.next(&self.frontend, self.deadline, self.route.timeout) => Some(part),
+            let limits = (self.deadline, self.route.timeout);
+            let next = stream.next_while_held(&self.frontend, limits, &mut coalescer, &caller);
+            let Some((part, was_delivered)) = next.await else {
+                self.log_caller_left(stream.events.count());
+                return;
             };
             let ready = match &part {
-                Some(StreamPart::Events(bytes)) => coalescer.push(Instant::now(), bytes.clone()),
+                StreamPart::Events(bytes) => coalescer.push(Instant::now(), bytes.clone()),
                 _ => coalescer.take(),
             };
-            let can_resume = match ready {
-                Some(events) => deliver(&self.frontend, &caller, events).await,
-                None => true,
-            };
-            let part = if can_resume { part } else { Some(StreamPart::NoMemory) };
+            let can_resume = was_delivered
+                && match ready {
+                    Some(events) => deliver(&self.frontend, &caller, events).await,
+                    None => true,
+                };
+            let part = if can_resume { part } else { StreamPart::NoMemory };
             let why = match part {
-                None => continue,
-                Some(StreamPart::Events(_)) => {
+                StreamPart::Events(_) => {
                     if !has_started {
                         self.observe(stream.response.observed(), stream.first);
                     }
                     continue;
                 }
-                Some(StreamPart::End) => {
+                StreamPart::End => {
                     let (events, times) = (stream.events.count(), stream.times);
                     let (server, exchange) = stream.finish();
                     self.log_answer((&server, &exchange), events, times);
                     return;
                 }
-                Some(StreamPart::Broken(why)) => why,
-                Some(StreamPart::TimedOut) => "out of time".into(),
-                Some(StreamPart::NoMemory) => "no memory for the events".into(),
+                StreamPart::Broken(why) => why,
+                StreamPart::TimedOut => "out of time".into(),
+                StreamPart::NoMemory => "no memory for the events".into(),
             };
             self.observe(stream.response.observed(), None);
             self.log_send_failure(
