Create a database again only if all but its header is zero

A file without magic number was taken for one whose creation was interrupted even if it held pages, so that a log whose first bytes were lost would have been emptied instead of being named in an error. The bytes after the header are checked now.

The opening of the log is split into one attempt and the two loops around it, which reads easier than an option that is never empty.

Before: a_file_that_is_no_database_is_kept_and_named_in_the_error fails ("9 bytes are zero").

--- a/crates/host/src/disk.rs
+++ b/crates/host/src/disk.rs
@@ -28,25 +28,37 @@
     let (sender, receiver) = oneshot::channel();
     let folder = folder.to_owned();
     let run = move || {
-        if let Some(journal) = open_while(&folder, || !sender.is_closed()) {
-            // The send fails if the VM stops meanwhile.
-            let _ = sender.send(journal);
+        while !sender.is_closed() {
+            if let Some(journal) = try_open(&folder) {
+                // The send fails if the VM stops meanwhile.
+                let _ = sender.send(journal);
+                return;
+            }
         }
     };
     thread::Builder::new().name("open".into()).spawn(run)?;
     Ok(receiver)
 }
 
-/// Opens the log, and retries until that succeeds or it is no longer wanted.
-fn open_while(folder: &Path, is_wanted: impl Fn() -> bool) -> Option<Journal> {
-    while is_wanted() {
-        match Journal::open(folder, rand::random) {
-            Ok(journal) => return Some(journal),
-            Err(error) => log_failure(folder, "opened", &error),
+/// Opens the log, and retries until that succeeds.
+fn open(folder: &Path) -> Journal {
+    loop {
+        if let Some(journal) = try_open(folder) {
+            return journal;
+        }
+    }
+}
+
+/// Opens the log. Waits after a failure, so that the caller can try again at once.
+fn try_open(folder: &Path) -> Option<Journal> {
+    match Journal::open(folder, rand::random) {
+        Ok(journal) => Some(journal),
+        Err(error) => {
+            log_failure(folder, "opened", &error);
+            thread::sleep(RETRY_INTERVAL);
+            None
         }
-        thread::sleep(RETRY_INTERVAL);
     }
-    None
 }
 
 fn log_failure(folder: &Path, what: &str, error: &Report<store::Error>) {
@@ -76,8 +88,7 @@
 
     fn write(&mut self, cluster: u64, batches: &[WriteBatch]) -> Result<(), Self::Error> {
         loop {
-            let journal = self.journal.take().or_else(|| open_while(&self.folder, || true));
-            let Some(mut journal) = journal else { continue };
+            let mut journal = self.journal.take().unwrap_or_else(|| open(&self.folder));
             match journal.write(cluster, batches) {
                 Ok(()) => {
                     self.journal = Some(journal);
--- a/crates/store/src/database.rs
+++ b/crates/store/src/database.rs
@@ -9,6 +9,10 @@
 
 /// First bytes of a database file.
 const MAGIC: [u8; 9] = *b"redb\x1a\n\xa9\r\n";
+/// Length of the header of a database, in bytes.
+const HEADER_BYTES: u64 = 320;
+/// Number of bytes that are read at a time.
+const PART_BYTES: usize = 64 << 10;
 
 /// Opens a database in a file, which is created if it does not exist.
 ///
@@ -36,33 +40,39 @@
 ) -> Result<Database, Report<Error>> {
     let failed = || Error::from(ErrorKind::Open(name.to_owned()));
     let bytes = backend.len().change_context_lazy(failed)?;
-    let start = read_start(&backend, bytes).change_context_lazy(failed)?;
-    if is_unfinished(&start) {
-        if bytes > 0 {
-            spdlog::warn!("creation of a database was interrupted; creating it again", kv: { name, bytes });
-            backend.set_len(0).change_context_lazy(failed)?;
+    let mut start = vec![0; usize::try_from(bytes).map_or(MAGIC.len(), |b| b.min(MAGIC.len()))];
+    backend.read(0, &mut start).change_context_lazy(failed)?;
+    if start != MAGIC && bytes > 0 {
+        if !is_unfinished(&backend, &start, bytes).change_context_lazy(failed)? {
+            return Err(Error::from(ErrorKind::NotDatabase { name: name.to_owned(), start }).into());
         }
-    } else if start != MAGIC {
-        return Err(Error::from(ErrorKind::NotDatabase { name: name.to_owned(), start }).into());
+        spdlog::warn!("creation of a database was interrupted; creating it again", kv: { name, bytes });
+        backend.set_len(0).change_context_lazy(failed)?;
     }
     Builder::new().create_with_backend(SyncedGrowth(backend)).change_context_lazy(failed)
 }
 
-/// Reads the first bytes of a storage, as many as [`MAGIC`] has or fewer if it is shorter.
-fn read_start(backend: &impl StorageBackend, bytes: u64) -> io::Result<Vec<u8>> {
-    let len = usize::try_from(bytes).map_or(MAGIC.len(), |bytes| bytes.min(MAGIC.len()));
-    let mut start = vec![0; len];
-    backend.read(0, &mut start)?;
-    Ok(start)
-}
-
-/// Returns whether a storage that starts with these bytes was never a whole database.
+/// Returns whether a storage of this length, which starts with these bytes, was never a whole
+/// database.
 ///
-/// While a database is created, its magic number is written last, after everything else is synced.
-/// Until then the bytes in its place do not exist or are zero, or some of them are written if power is
-/// lost. Such a database has never been opened, so it holds no records.
-fn is_unfinished(start: &[u8]) -> bool {
-    start != MAGIC && start.iter().zip(MAGIC).all(|(&byte, magic)| byte == 0 || byte == magic)
+/// A database is created by writing a header, without its magic number, to a storage that is zero
+/// otherwise. The magic number follows when that is synced, so if power is lost then, a part of it may
+/// be written. Nothing was stored by then.
+fn is_unfinished(backend: &impl StorageBackend, start: &[u8], bytes: u64) -> io::Result<bool> {
+    if start.iter().zip(MAGIC).any(|(&byte, magic)| byte != 0 && byte != magic) {
+        return Ok(false);
+    }
+    let mut at = HEADER_BYTES;
+    let mut part = vec![0; PART_BYTES];
+    while at < bytes {
+        let len = usize::try_from(bytes - at).map_or(PART_BYTES, |left| left.min(PART_BYTES));
+        backend.read(at, &mut part[..len])?;
+        if part[..len].iter().any(|&byte| byte != 0) {
+            return Ok(false);
+        }
+        at += len as u64;
+    }
+    Ok(true)
 }
 
 /// A storage whose growth is synced before anything else is written.
--- a/crates/store/tests/creation.rs
+++ b/crates/store/tests/creation.rs
@@ -249,6 +249,14 @@
         assert!(error.contains("is not a database: it starts with the bytes ["), "{error}");
         assert_eq!(fs::read(&path).unwrap(), damaged, "byte {at}");
     }
+    // The same for a database whose header was lost.
+    for zeros in [9, 320, 4_096] {
+        let mut damaged = good.clone();
+        damaged[..zeros].fill(0);
+        fs::write(&path, &damaged).unwrap();
+        assert!(Journal::open(&folder, || NEW_DISK).is_err(), "{zeros} bytes are zero");
+        assert_eq!(fs::read(&path).unwrap(), damaged, "{zeros} bytes are zero");
+    }
     fs::write(&path, &good).unwrap();
     assert_eq!(Journal::open(&folder, || NEW_DISK).unwrap().disk_id(), OLD_DISK);
     fs::remove_dir_all(folder).unwrap();
