--- a/review/stand-3/main.rs
+++ b/review/stand-3/main.rs
@@ -1,6 +1,7 @@
 //! The cases of the third review, and the stand-ins that they start. `case-3 CASE RECORD` exits with 1
 //! if the rule was broken, 0 if it held and 2 if the case could not run.
 
+mod boot;
 mod departure;
 mod keys;
 mod leaving;
@@ -27,7 +28,7 @@
         return;
     }
     let [case, path] = args.as_slice() else {
-        eprintln!("case-3 leaving|departure|keys|slow RECORD");
+        eprintln!("case-3 leaving|departure|keys|slow|boot RECORD");
         exit(2);
     };
     let record = Record::create(path);
@@ -39,6 +40,7 @@
         "departure" => departure::run(&record, trouble),
         "keys" => keys::run(&record, trouble),
         "slow" => slow::run(&record, trouble),
+        "boot" => boot::run(&record, trouble),
         _ => Verdict::NotRun,
     };
     let (text, code) = match verdict {
--- a/review/stand-3/rig.rs
+++ b/review/stand-3/rig.rs
@@ -114,9 +114,17 @@
 
     /// Writes the settings as the templates of the deploy file render them.
     pub fn write_settings(&self, bootstrap: bool) {
+        for n in 0..self.machines.len() {
+            self.write_settings_of(n, bootstrap);
+        }
+    }
+
+    /// Writes the settings of one machine.
+    pub fn write_settings_of(&self, n: usize, bootstrap: bool) {
         let seeds: Vec<String> = self.controls().iter().map(|a| format!("\"{a}\"")).collect();
         let seeds = seeds.join(",");
-        for machine in &self.machines {
+        {
+            let machine = &self.machines[n];
             let Machine { ip, index, .. } = machine;
             let (zone, (low, high)) = (ZONES[index % 3], INTERNAL_PORTS);
             let common = format!(
@@ -155,9 +163,14 @@
     /// Starts the processes of all machines that have none.
     pub fn start_all(&mut self) {
         for n in 0..self.machines.len() {
-            if self.machines[n].process.is_some() {
-                continue;
-            }
+            self.start(n);
+        }
+        self.record.line("platform: all processes are started");
+    }
+
+    /// Starts the process of a machine that has none. The control machines are the first three.
+    pub fn start(&mut self, n: usize) {
+        if self.machines[n].process.is_none() {
             let path = self.settings_path(&self.machines[n]);
             let log = fs::File::options()
                 .create(true)
@@ -175,7 +188,19 @@
                 .expect("the program does not start");
             self.machines[n].process = Some(process);
         }
-        self.record.line("platform: all processes are started");
+    }
+
+    /// Kills the process of one machine.
+    pub fn kill(&mut self, n: usize) {
+        if let Some(mut process) = self.machines[n].process.take() {
+            let _ = process.kill();
+            let _ = process.wait();
+        }
+    }
+
+    /// Returns the address of a machine.
+    pub fn ip(&self, n: usize) -> Ipv4Addr {
+        self.machines[n].ip
     }
 
     /// Kills the processes of all machines at the same moment.
@@ -286,35 +311,41 @@
     let mut last = Answer::default();
     let mut n = 0;
     while Instant::now() < end {
-        let mut address = controls[n % controls.len()];
+        last = call_one(controls[n % controls.len()], method, path, body);
         n += 1;
-        for _ in 0..3 {
-            let request = format!(
-                "{method} {path} HTTP/1.1\r\nHost: {address}\r\nContent-Type: application/json\r\n\
-                 Content-Length: {}\r\nConnection: close\r\n\r\n{body}",
-                body.len()
-            );
-            last = exchange(address, &request, Duration::from_secs(1));
-            if last.status != 307 {
-                break;
-            }
-            let location = last.head.lines().find_map(|line| {
-                let (name, value) = line.split_once(':')?;
-                name.eq_ignore_ascii_case("location").then(|| value.trim().to_owned())
-            });
-            let host =
-                location.as_deref().and_then(|l| l.strip_prefix("http://")?.split('/').next());
-            let Some(next) = host.and_then(|host| host.parse().ok()) else { break };
-            address = next;
-        }
         if matches!(last.status, 200 | 400..=407 | 409..=428) {
-            return last;
+            break;
         }
         sleep(Duration::from_millis(100));
     }
     last
 }
 
+/// Calls control at one machine, and follows redirects twice.
+pub fn call_one(address: SocketAddrV4, method: &str, path: &str, body: &str) -> Answer {
+    let mut address = address;
+    let mut last = Answer::default();
+    for _ in 0..3 {
+        let request = format!(
+            "{method} {path} HTTP/1.1\r\nHost: {address}\r\nContent-Type: application/json\r\n\
+             Content-Length: {}\r\nConnection: close\r\n\r\n{body}",
+            body.len()
+        );
+        last = exchange(address, &request, Duration::from_secs(1));
+        if last.status != 307 {
+            break;
+        }
+        let location = last.head.lines().find_map(|line| {
+            let (name, value) = line.split_once(':')?;
+            name.eq_ignore_ascii_case("location").then(|| value.trim().to_owned())
+        });
+        let host = location.as_deref().and_then(|l| l.strip_prefix("http://")?.split('/').next());
+        let Some(next) = host.and_then(|host| host.parse().ok()) else { break };
+        address = next;
+    }
+    last
+}
+
 /// Builds a client's request. Without a key, it carries none.
 pub fn request(path: &str, id: &str, deadline_ms: u32, key: Option<&str>) -> String {
     let key = key.map_or(String::new(), |key| format!("Authorization: Token {key}\r\n"));
